--- a/aggregator.go
+++ b/aggregator.go
@@ -1,8 +1,8 @@
-// Package umberbridge makes the decisions of an aggregator, which reads many shards for one query.
+// Package harepass makes the decisions of an aggregator, which reads many shards for one query.
 // A root feeds Step with what happened and does what it returns, the same for the same seed and events.
 // Types are in api.go, every decision here, top-down: a step, the shares and their refill, queries, attempts,
 // replica health, the list. docs/design.md says where each rule comes from.
-package umberbridge
+package harepass
 
 import (
 	"cmp"
--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-package umberbridge
+package harepass
 
 import (
 	"fmt"
@@ -230,7 +230,7 @@
 // validate names the first setting that no root could have.
 func (s Settings) validate() error {
 	bad := func(field string, v any) error {
-		return fmt.Errorf("umberbridge: impossible setting %s: %v", field, v)
+		return fmt.Errorf("harepass: impossible setting %s: %v", field, v)
 	}
 	switch {
 	case s.Roots < 1:
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -7,8 +7,8 @@
 	"io"
 	"os"
 
-	"umberbridge"
-	"umberbridge/internal/wire"
+	"harepass"
+	"harepass/internal/wire"
 )
 
 func main() {
@@ -21,13 +21,13 @@
 // turn gathers what one instance is told in a batch.
 type turn struct {
 	root   string
-	agg    *umberbridge.Aggregator
-	events []umberbridge.Event
+	agg    *harepass.Aggregator
+	events []harepass.Event
 }
 
 func run(in io.Reader, out io.Writer) error {
 	dec, enc := wire.NewDecoder(in), wire.NewEncoder(out)
-	roots := map[string]*umberbridge.Aggregator{}
+	roots := map[string]*harepass.Aggregator{}
 	for {
 		batch, err := dec.Next()
 		if err == io.EOF {
@@ -41,7 +41,7 @@
 		for _, m := range batch.Messages {
 			switch {
 			case m.Start != nil:
-				agg, err := umberbridge.New(m.Start.Seed, m.Start.Settings)
+				agg, err := harepass.New(m.Start.Seed, m.Start.Settings)
 				if err != nil {
 					return fmt.Errorf("line %d: settings of %s: %w", m.Line, m.Root, err)
 				}
@@ -83,7 +83,7 @@
 	}
 }
 
-func step(t *turn, batch wire.Batch) (actions []umberbridge.Action, err error) {
+func step(t *turn, batch wire.Batch) (actions []harepass.Action, err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("panic: %v", p)
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"umberbridge"
+	"harepass"
 )
 
 // Batch is what happened at one time.
@@ -28,25 +28,25 @@
 	Root  string
 	Start *Start
 	Stop  bool
-	Event umberbridge.Event
+	Event harepass.Event
 }
 
 // Start begins an instance.
 type Start struct {
 	Seed     uint64
-	Settings umberbridge.Settings
+	Settings harepass.Settings
 }
 
 // Decoder reads batches.
 type Decoder struct {
 	r      *bufio.Reader
 	line   int
-	sheets map[int][]umberbridge.Replica
+	sheets map[int][]harepass.Replica
 }
 
 // NewDecoder returns a Decoder that reads from r.
 func NewDecoder(r io.Reader) *Decoder {
-	return &Decoder{r: bufio.NewReaderSize(r, 1<<16), sheets: map[int][]umberbridge.Replica{}}
+	return &Decoder{r: bufio.NewReaderSize(r, 1<<16), sheets: map[int][]harepass.Replica{}}
 }
 
 var errTruncated = errors.New("input ends inside a batch")
@@ -119,8 +119,8 @@
 	return s, err
 }
 
-var states = map[string]umberbridge.ReplicaState{
-	"active": umberbridge.Ready, "leaving": umberbridge.Draining, "left": umberbridge.Gone}
+var states = map[string]harepass.ReplicaState{
+	"active": harepass.Ready, "leaving": harepass.Draining, "left": harepass.Gone}
 
 // sheet reads a numbered list and its rows.
 func (d *Decoder) sheet(f *fields) error {
@@ -131,7 +131,7 @@
 	if f.err != nil {
 		return f.err
 	}
-	var list []umberbridge.Replica
+	var list []harepass.Replica
 	for i := 0; i < n; i++ {
 		text, err := d.inside()
 		if err != nil {
@@ -148,7 +148,7 @@
 		if !ok && row.err == nil {
 			row.bad("state", "is unknown")
 		}
-		rep := umberbridge.Replica{ID: row.str("leaf"), State: state, Zone: row.get("dc")}
+		rep := harepass.Replica{ID: row.str("leaf"), State: state, Zone: row.get("dc")}
 		rep.Cell = row.optNum("position", 0)
 		rep.Since = row.optUS("online_since_us")
 		if row.err != nil {
@@ -160,13 +160,13 @@
 	return nil
 }
 
-var scopes = map[string]umberbridge.ListScope{
-	"changes": umberbridge.ListChanges, "all": umberbridge.ListFull,
-	"remembered": umberbridge.ListRemembered, "refused": umberbridge.ListRefused}
+var scopes = map[string]harepass.ListScope{
+	"changes": harepass.ListChanges, "all": harepass.ListFull,
+	"remembered": harepass.ListRemembered, "refused": harepass.ListRefused}
 
-var outcomes = []umberbridge.Outcome{umberbridge.Errored, umberbridge.Served, umberbridge.Full,
-	umberbridge.TimedOut, umberbridge.ConnectFailed, umberbridge.Reset, umberbridge.Cancelled,
-	umberbridge.Moot}
+var outcomes = []harepass.Outcome{harepass.Errored, harepass.Served, harepass.Full,
+	harepass.TimedOut, harepass.ConnectFailed, harepass.Reset, harepass.Cancelled,
+	harepass.Moot}
 
 const (
 	optionRetry = 2 // bit of ask options: a client's retry
@@ -185,8 +185,8 @@
 		if !ok && f.err == nil {
 			f.bad("scope", "is unknown")
 		}
-		ev := umberbridge.ListReceived{Scope: scope}
-		if scope != umberbridge.ListRefused {
+		ev := harepass.ListReceived{Scope: scope}
+		if scope != harepass.ListRefused {
 			table := f.num("table")
 			list, ok := d.sheets[table]
 			if !ok && f.err == nil {
@@ -198,27 +198,27 @@
 	case "ask":
 		shard := f.num("segment_no")
 		if shard < 0 {
-			m.Event = umberbridge.QueryArrived{ID: f.str("tid"), Number: f.i64("group_no"),
+			m.Event = harepass.QueryArrived{ID: f.str("tid"), Number: f.i64("group_no"),
 				Class: f.str("band"), Tenant: f.get("client_group"), Key: f.get("name_key"),
 				ValidUntil: f.us("valid_until_us"), Parts: int(f.float("heft")),
 				IsRetry: f.optNum("options", 0)&optionRetry != 0}
 		} else {
-			m.Event = umberbridge.PartArrived{ID: f.str("tid"), Number: f.i64("group_no"),
+			m.Event = harepass.PartArrived{ID: f.str("tid"), Number: f.i64("group_no"),
 				Shard: shard, Weight: f.float("heft")}
 		}
 	case "ended":
-		m.Event = umberbridge.AttemptEnded{Part: f.str("tid"), Attempt: f.num("hop"),
+		m.Event = harepass.AttemptEnded{Part: f.str("tid"), Attempt: f.num("hop"),
 			Replica: f.str("leaf"), Outcome: f.outcome(), Took: f.us("time_taken_us")}
 	case "gone":
-		m.Event = umberbridge.QueryGone{ID: f.str("tid")}
+		m.Event = harepass.QueryGone{ID: f.str("tid")}
 	case "mail":
 		data, err := hex.DecodeString(f.str("data"))
 		if err != nil && f.str("data") != "-" {
 			f.bad("data", "is not hex")
 		}
-		m.Event = umberbridge.Told{Replica: string(data)}
+		m.Event = harepass.Told{Replica: string(data)}
 	case "deadline_hit":
-		m.Event = umberbridge.Woken{}
+		m.Event = harepass.Woken{}
 	default:
 		return m, false
 	}
@@ -313,13 +313,13 @@
 	return x
 }
 
-func (f *fields) outcome() umberbridge.Outcome {
+func (f *fields) outcome() harepass.Outcome {
 	v := f.num("verdict")
 	if f.err == nil && (v < 0 || v >= len(outcomes)) {
 		f.bad("verdict", "is unknown")
 	}
 	if f.err != nil {
-		return umberbridge.Errored
+		return harepass.Errored
 	}
 	return outcomes[v]
 }
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -6,7 +6,7 @@
 	"io"
 	"strings"
 
-	"umberbridge"
+	"harepass"
 )
 
 // Encoder writes replies. Errors are kept and reported by End.
@@ -16,32 +16,32 @@
 func NewEncoder(w io.Writer) *Encoder { return &Encoder{bufio.NewWriterSize(w, 1<<16)} }
 
 // Actions writes what one instance does.
-func (e *Encoder) Actions(root string, actions []umberbridge.Action) {
+func (e *Encoder) Actions(root string, actions []harepass.Action) {
 	for _, act := range actions {
 		switch a := act.(type) {
-		case umberbridge.Send:
+		case harepass.Send:
 			fmt.Fprintf(e.w, "transmit root_id=%s tid=%s max_wait_us=%d leaf=%s\n",
 				root, a.Part, a.Timeout.Microseconds(), a.Replica)
-		case umberbridge.CallOff:
+		case harepass.CallOff:
 			fmt.Fprintf(e.w, "call_off root_id=%s tid=%s hop=%d\n", root, a.Part, a.Attempt)
-		case umberbridge.Answer:
+		case harepass.Answer:
 			whole := 0
 			if a.Whole {
 				whole = 1
 			}
 			fmt.Fprintf(e.w, "settle_query root_id=%s tid=%s entire=%d\n", root, a.Query, whole)
-		case umberbridge.Refuse:
+		case harepass.Refuse:
 			fmt.Fprintf(e.w, "deny root_id=%s tid=%s retry_in_us=%d\n",
 				root, a.Query, a.RetryIn.Microseconds())
-		case umberbridge.Fail:
+		case harepass.Fail:
 			fmt.Fprintf(e.w, "surrender root_id=%s tid=%s\n", root, a.Query)
-		case umberbridge.Disconnect:
+		case harepass.Disconnect:
 			fmt.Fprintf(e.w, "disconnect root_id=%s leaf=%s\n", root, a.Replica)
-		case umberbridge.Tell:
+		case harepass.Tell:
 			fmt.Fprintf(e.w, "memo_to root_id=%s neighbour_id=all data=%x\n", root, a.Replica)
-		case umberbridge.Subscribe:
+		case harepass.Subscribe:
 			fmt.Fprintf(e.w, "observe root_id=%s entire=1\n", root)
-		case umberbridge.WakeIn:
+		case harepass.WakeIn:
 			fmt.Fprintf(e.w, "sleep root_id=%s in_us=%d name=0\n", root, a.In.Microseconds())
 		}
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,16 +5,16 @@
 	"strconv"
 	"strings"
 
-	"umberbridge"
+	"harepass"
 )
 
-var repeats = map[string]umberbridge.Repeat{
-	"free": umberbridge.Free, "guarded": umberbridge.Guarded, "single_shot": umberbridge.SingleShot}
+var repeats = map[string]harepass.Repeat{
+	"free": harepass.Free, "guarded": harepass.Guarded, "single_shot": harepass.SingleShot}
 
 // settings reads the facts of a provision line. Unknown keys are skipped; keys that a site leaves
 // out keep the zero value, except where zero would mean something else.
-func settings(f *fields) umberbridge.Settings {
-	s := umberbridge.Settings{
+func settings(f *fields) harepass.Settings {
+	s := harepass.Settings{
 		Roots:          f.optNum("balancers", 1),
 		Cells:          f.num("family_info.positions"),
 		Reach:          f.num("family_info.reach"),
@@ -27,7 +27,7 @@
 		OverShareWorth: f.optFloat("over_share_worth", 1),
 		Subscribe:      f.get("discovery") == "ask",
 		ListMaxAge:     f.optUS("rules.ask_every_us"),
-		Cold: umberbridge.Cold{
+		Cold: harepass.Cold{
 			Start:      f.optFloat("rules.start_capacity", 1),
 			WarmWithin: f.optUS("rules.warm_within_us"),
 			Multiple:   f.optFloat("rules.fall_multiple", 0),
@@ -35,7 +35,7 @@
 		},
 	}
 	if f.get("rules.extra_ratio") != "" {
-		s.Budget = &umberbridge.Budget{Free: int(f.optFloat("rules.budget_free", 0)),
+		s.Budget = &harepass.Budget{Free: int(f.optFloat("rules.budget_free", 0)),
 			Ratio: f.float("rules.extra_ratio"), Window: f.us("rules.extra_window_us")}
 	}
 	if advice := f.optUS("caps.max_retry_after_us"); f.flag("caps.retry_after") {
@@ -48,7 +48,7 @@
 		if !ok {
 			f.bad(p+"repeat", "is unknown")
 		}
-		s.Classes = append(s.Classes, umberbridge.Class{
+		s.Classes = append(s.Classes, harepass.Class{
 			Name: f.str(p + "name"), Aim: f.us(p + "objective_us"), Deadline: f.us(p + "hard_limit_us"),
 			Worth: f.optFloat(p+"importance", 1), LateWorth: f.optFloat(p+"late_worth", 0),
 			Repeat: repeat, Window: f.optUS(p + "dedup_window_us"),
@@ -59,7 +59,7 @@
 	n = f.optNum("customers.count", 0)
 	for i := 0; i < n && f.err == nil; i++ {
 		p := fmt.Sprintf("customers.%d.", i)
-		s.Tenants = append(s.Tenants, umberbridge.Tenant{
+		s.Tenants = append(s.Tenants, harepass.Tenant{
 			Name: f.str(p + "name"), Quota: f.optFloat(p+"quota_per_s", 0)})
 	}
 	return s
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"umberbridge"
+	"harepass"
 )
 
 const provision = "provision root_id=root-3 random_seed=5138197539985895 balancers=3 caps.cancel=true " +
@@ -56,19 +56,19 @@
 	if err != nil || len(all) != 1 {
 		t.Fatalf("%d batches, %v", len(all), err)
 	}
-	want := []umberbridge.Event{
-		umberbridge.ListReceived{Scope: umberbridge.ListRemembered, Replicas: []umberbridge.Replica{
+	want := []harepass.Event{
+		harepass.ListReceived{Scope: harepass.ListRemembered, Replicas: []harepass.Replica{
 			{ID: "leaf_a", Zone: "n"},
-			{ID: "leaf_b", Cell: 3, Zone: "c", State: umberbridge.Draining, Since: 6100 * time.Millisecond}}},
-		umberbridge.ListReceived{Scope: umberbridge.ListRefused},
-		umberbridge.QueryArrived{ID: "q", Number: 214, Class: "search", Tenant: "t", Parts: 2,
+			{ID: "leaf_b", Cell: 3, Zone: "c", State: harepass.Draining, Since: 6100 * time.Millisecond}}},
+		harepass.ListReceived{Scope: harepass.ListRefused},
+		harepass.QueryArrived{ID: "q", Number: 214, Class: "search", Tenant: "t", Parts: 2,
 			ValidUntil: 8652250 * time.Microsecond, IsRetry: true},
-		umberbridge.PartArrived{ID: "p", Number: 214, Shard: 5, Weight: 0.125},
-		umberbridge.AttemptEnded{Part: "p", Attempt: 1, Replica: "leaf_a", Outcome: umberbridge.Served,
+		harepass.PartArrived{ID: "p", Number: 214, Shard: 5, Weight: 0.125},
+		harepass.AttemptEnded{Part: "p", Attempt: 1, Replica: "leaf_a", Outcome: harepass.Served,
 			Took: 18500 * time.Microsecond},
-		umberbridge.Told{Replica: "leaf_a"}, umberbridge.Told{}, umberbridge.QueryGone{ID: "q"}, umberbridge.Woken{},
+		harepass.Told{Replica: "leaf_a"}, harepass.Told{}, harepass.QueryGone{ID: "q"}, harepass.Woken{},
 	}
-	var got []umberbridge.Event
+	var got []harepass.Event
 	for _, m := range all[0].Messages {
 		if m.Event != nil {
 			got = append(got, m.Event)
@@ -91,21 +91,21 @@
 	if s.Seed != 5138197539985895 {
 		t.Errorf("seed %d", s.Seed)
 	}
-	want := umberbridge.Settings{Roots: 3, Cells: 12, Reach: 4, CallBatch: 8,
+	want := harepass.Settings{Roots: 3, Cells: 12, Reach: 4, CallBatch: 8,
 		Turn: 5 * time.Millisecond, MaxAttempts: 3, SecondCopies: true, Cancel: true, Peers: true,
 		RetryAdvice: 500 * time.Millisecond, OverShareWorth: 1,
-		Subscribe: true, Tenants: []umberbridge.Tenant{{Name: "t", Quota: 16}},
-		Classes: []umberbridge.Class{
+		Subscribe: true, Tenants: []harepass.Tenant{{Name: "t", Quota: 16}},
+		Classes: []harepass.Class{
 			{Name: "search", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, LateWorth: 0.1,
 				Need: 1, Floor: 1},
-			{Name: "mark", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Repeat: umberbridge.Guarded,
+			{Name: "mark", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Repeat: harepass.Guarded,
 				Window: 4 * time.Second, Need: 0.67, Floor: 0.5}},
-		Cold:   umberbridge.Cold{Start: 0.15, WarmWithin: 16 * time.Second, Multiple: 4, Window: time.Second},
-		Budget: &umberbridge.Budget{Free: 2, Ratio: 0.1, Window: 9 * time.Second}}
+		Cold:   harepass.Cold{Start: 0.15, WarmWithin: 16 * time.Second, Multiple: 4, Window: time.Second},
+		Budget: &harepass.Budget{Free: 2, Ratio: 0.1, Window: 9 * time.Second}}
 	if !reflect.DeepEqual(s.Settings, want) {
 		t.Errorf("got  %+v\nwant %+v", s.Settings, want)
 	}
-	if _, err := umberbridge.New(s.Seed, s.Settings); err != nil {
+	if _, err := harepass.New(s.Seed, s.Settings); err != nil {
 		t.Error(err)
 	}
 }
@@ -156,12 +156,12 @@
 func TestEncodeActions(t *testing.T) {
 	var buf bytes.Buffer
 	e := NewEncoder(&buf)
-	e.Actions("r", []umberbridge.Action{
-		umberbridge.Send{Part: "p", Replica: "a", Timeout: 80 * time.Millisecond},
-		umberbridge.CallOff{Part: "p", Attempt: 2}, umberbridge.Answer{Query: "q", Whole: true},
-		umberbridge.Answer{Query: "q"}, umberbridge.Refuse{Query: "q", RetryIn: 250 * time.Millisecond},
-		umberbridge.Fail{Query: "q"}, umberbridge.Disconnect{Replica: "a"},
-		umberbridge.Tell{Replica: "leaf_a"}, umberbridge.Subscribe{}, umberbridge.WakeIn{In: 5 * time.Millisecond}})
+	e.Actions("r", []harepass.Action{
+		harepass.Send{Part: "p", Replica: "a", Timeout: 80 * time.Millisecond},
+		harepass.CallOff{Part: "p", Attempt: 2}, harepass.Answer{Query: "q", Whole: true},
+		harepass.Answer{Query: "q"}, harepass.Refuse{Query: "q", RetryIn: 250 * time.Millisecond},
+		harepass.Fail{Query: "q"}, harepass.Disconnect{Replica: "a"},
+		harepass.Tell{Replica: "leaf_a"}, harepass.Subscribe{}, harepass.WakeIn{In: 5 * time.Millisecond}})
 	e.Exception("r", "index out\nof range")
 	if err := e.End(); err != nil {
 		t.Fatal(err)
--- a/symptoms_test.go
+++ b/symptoms_test.go
@@ -1,4 +1,4 @@
-package umberbridge
+package harepass
 
 import (
 	"fmt"
