--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,462 @@
+// Package core runs the decision module for fronts that take queries and callers that reach nodes. One
+// goroutine, the owner, holds the module and all that is open; everybody else reaches it through a
+// bounded queue. The package knows no wire.
+package core
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"harepass"
+)
+
+// Limits are the figures of a coordinator that bind the root round the module rather than the module.
+type Limits struct {
+	Open int // queries and parts held at once, sent or not; 0 for no limit
+}
+
+// Clock reads the time as a duration since the Unix epoch; it never goes back.
+type Clock func() time.Duration
+
+// SystemClock reads the wall clock once and goes on from there by the monotonic clock.
+func SystemClock() Clock {
+	base := time.Now()
+	return func() time.Duration { return time.Duration(base.UnixNano()) + time.Since(base) }
+}
+
+// Query is what a front hands over. Done is called once, by the owner, and must not block.
+type Query struct {
+	ID     string // as the nodes are to see it
+	Class  string
+	Tenant string
+	Until  time.Duration // when the client gives up, on the owner's clock
+	Retry  bool
+	Text   []byte // what each part carries to its node
+	Parts  []Part
+	Done   func(Answer)
+}
+
+// Part is a query's share in one shard.
+type Part struct {
+	Shard  int
+	Weight float64
+}
+
+// Verdict is the kind of a final answer.
+type Verdict int
+
+// The final answers.
+const (
+	Served Verdict = iota
+	Refused
+	Failed
+)
+
+// Answer is the one final answer to a query. Values has an entry for each part, nil where none came in.
+type Answer struct {
+	Verdict Verdict
+	Whole   bool
+	Values  [][]byte
+	RetryIn time.Duration
+}
+
+// Node is a replica with the way to reach it.
+type Node struct {
+	harepass.Replica
+	Address string
+	Scheme  string // names the Caller that speaks to it
+}
+
+// Attempt is one try of a part at a node. Callers read the exported fields and hand it back.
+type Attempt struct {
+	Query   string
+	Class   string
+	Shard   int
+	Text    []byte
+	Timeout time.Duration
+	Node    string
+
+	part   *part
+	no     int
+	sent   time.Duration
+	caller Caller
+	reason harepass.Outcome // of the abandoning
+	due    *deadline
+	ended  bool
+}
+
+// Caller speaks to nodes. None of its methods may block or call the owner back from within.
+type Caller interface {
+	// Call sends the attempts as one call; each ends in one Owner.Ended.
+	Call(node Node, attempts []*Attempt)
+	// Abandon tells the node that an attempt is given up and then ends it as Cancelled, unless it
+	// has ended otherwise.
+	Abandon(*Attempt)
+	// Disconnect closes the idle connections to a node.
+	Disconnect(node string)
+}
+
+// Config is what an Owner is made of.
+type Config struct {
+	Seed      uint64
+	Settings  harepass.Settings
+	Limits    Limits
+	Clock     Clock
+	Callers   map[string]Caller // by Node.Scheme
+	Subscribe func()            // asks the source of the list; must not block
+}
+
+const (
+	queueSize   = 1024                  // messages waiting for the owner; fronts refuse beyond it
+	abandonWait = 20 * time.Millisecond // for a caller to get the word out, should the way be blocked
+	overdue     = 10 * time.Millisecond // past a client's time: the module's own answer is late
+)
+
+// ErrSecondStep is returned for classes with a second step, which no front of this program has.
+var ErrSecondStep = errors.New("core: classes with a second step are not served")
+
+// Owner holds the module. Use New, then Run.
+type Owner struct {
+	cfg   Config
+	agg   *harepass.Aggregator
+	queue chan message
+	phase atomic.Int32
+	done  chan struct{}
+	ready chan struct{} // closed once the phase has left Starting
+
+	now       time.Duration
+	next      int64
+	queries   map[string]*query // by the module's id
+	byQuery   map[*Query]*query
+	parts     map[string]*part
+	nodes     map[string]Node
+	events    []harepass.Event
+	deadlines deadlines
+	wake      *deadline
+	held      int  // queries and parts open
+	list      bool // discovery has answered, be it with a refusal
+	ending    bool // to stop when nothing is open
+}
+
+type query struct {
+	*Query
+	id    string
+	parts []*part
+	due   *deadline
+}
+
+type part struct {
+	id       string
+	index    int
+	shard    int
+	q        *query
+	value    []byte
+	attempts []*Attempt
+}
+
+// New returns an Owner in the phase Starting.
+func New(cfg Config) (*Owner, error) {
+	agg, err := harepass.New(cfg.Seed, cfg.Settings)
+	if err != nil {
+		return nil, err
+	}
+	for _, c := range cfg.Settings.Classes {
+		if c.SecondStep > 0 {
+			return nil, fmt.Errorf("%w: %s", ErrSecondStep, c.Name)
+		}
+	}
+	return &Owner{cfg: cfg, agg: agg, queue: make(chan message, queueSize), done: make(chan struct{}),
+		ready: make(chan struct{}), queries: map[string]*query{}, byQuery: map[*Query]*query{},
+		parts: map[string]*part{}, nodes: map[string]Node{}, deadlines: newDeadlines()}, nil
+}
+
+// message is something that another goroutine tells the owner.
+type message interface{ apply(*Owner) }
+
+type (
+	submitted struct{ q *Query }
+	left      struct{ q *Query }
+	ended     struct {
+		at      *Attempt
+		outcome harepass.Outcome
+		value   []byte
+		when    time.Duration
+	}
+	listed struct {
+		scope harepass.ListScope
+		nodes []Node
+	}
+	draining struct{}
+)
+
+// Submit hands a query over. False means that the owner has no room or has stopped: nothing was taken.
+func (o *Owner) Submit(q *Query) bool {
+	if o.Phase() == Stopped {
+		return false
+	}
+	select {
+	case o.queue <- submitted{q}:
+		return true
+	default:
+		return false
+	}
+}
+
+// Gone tells that a query's client has left.
+func (o *Owner) Gone(q *Query) { o.post(left{q}) }
+
+// Ended brings an attempt's outcome; value is what the node served. Only the first one counts.
+func (o *Owner) Ended(at *Attempt, outcome harepass.Outcome, value []byte) {
+	o.post(ended{at, outcome, value, o.cfg.Clock()})
+}
+
+// Listed brings the list of nodes, its changes, or the news that it could not be had.
+func (o *Owner) Listed(scope harepass.ListScope, nodes []Node) { o.post(listed{scope, nodes}) }
+
+// post waits for room: socket goroutines may, the owner never posts.
+func (o *Owner) post(m message) {
+	select {
+	case o.queue <- m:
+	case <-o.done:
+	}
+}
+
+// Run is the owner's goroutine. It returns when the phase is Stopped.
+func (o *Owner) Run() {
+	defer close(o.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for o.Phase() != Stopped {
+		timer.Reset(o.untilNext())
+		select {
+		case m := <-o.queue:
+			o.turn(m)
+		case <-timer.C:
+			o.turn()
+		}
+	}
+}
+
+// turn applies what has come in, sweeps the deadlines, and lets the module decide.
+func (o *Owner) turn(first ...message) {
+	o.now = max(o.now, o.cfg.Clock())
+	for _, m := range first {
+		m.apply(o)
+	}
+	for n := len(o.queue); n > 0; n-- {
+		m := <-o.queue
+		m.apply(o)
+	}
+	o.sweep()
+	o.step()
+	o.advance()
+}
+
+// step runs the module until what it asks for has no outcome at once.
+func (o *Owner) step() {
+	for first := true; first || len(o.events) > 0; first = false {
+		events := o.events
+		o.events = nil
+		o.perform(o.agg.Step(o.now, events))
+	}
+}
+
+// apply opens a query, or refuses it where the owner holds as much as it may.
+func (m submitted) apply(o *Owner) {
+	size := 1 + len(m.q.Parts)
+	if o.cfg.Limits.Open > 0 && o.held+size > o.cfg.Limits.Open {
+		m.q.Done(Answer{Verdict: Refused, RetryIn: o.cfg.Settings.RetryAdvice})
+		return
+	}
+	o.held += size
+	o.next++
+	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10)}
+	o.queries[q.id], o.byQuery[m.q] = q, q
+	q.due = o.deadlines.add(q.Until+overdue, func() { o.overdue(q) })
+	o.events = append(o.events, harepass.QueryArrived{ID: q.id, Number: o.next, Class: q.Class,
+		Tenant: q.Tenant, ValidUntil: q.Until, Parts: len(q.Parts), IsRetry: q.Retry})
+	for i, p := range q.Parts {
+		pt := &part{id: q.id + "." + strconv.Itoa(i), index: i, shard: p.Shard, q: q}
+		q.parts = append(q.parts, pt)
+		o.parts[pt.id] = pt
+		o.events = append(o.events, harepass.PartArrived{ID: pt.id, Number: o.next, Shard: p.Shard, Weight: p.Weight})
+	}
+}
+
+func (m left) apply(o *Owner) {
+	if q := o.byQuery[m.q]; q != nil {
+		o.events = append(o.events, harepass.QueryGone{ID: q.id})
+		o.close(q)
+	}
+}
+
+func (m ended) apply(o *Owner) { o.end(m.at, m.outcome, m.value, m.when) }
+
+func (m listed) apply(o *Owner) {
+	ev := harepass.ListReceived{Scope: m.scope}
+	for _, n := range m.nodes {
+		o.nodes[n.ID] = n
+		ev.Replicas = append(ev.Replicas, n.Replica)
+	}
+	o.events = append(o.events, ev)
+	o.list = o.list || m.scope != harepass.ListRemembered
+}
+
+// overdue gives up a query that the module has left without an answer: the client's time is over.
+func (o *Owner) overdue(q *query) {
+	if o.queries[q.id] != nil {
+		o.events = append(o.events, harepass.QueryGone{ID: q.id})
+		o.finish(q, Answer{Verdict: Failed})
+	}
+}
+
+// finish gives a query its one final answer.
+func (o *Owner) finish(q *query, a Answer) {
+	o.close(q)
+	q.Done(a)
+}
+
+// close forgets a query; outcomes of its attempts still reach the module.
+func (o *Owner) close(q *query) {
+	o.deadlines.remove(q.due)
+	delete(o.queries, q.id)
+	delete(o.byQuery, q.Query)
+	o.held -= 1 + len(q.parts)
+	for _, p := range q.parts {
+		o.forget(p)
+	}
+}
+
+// forget drops a part that is over and has no attempt out.
+func (o *Owner) forget(p *part) {
+	if o.queries[p.q.id] != nil {
+		return
+	}
+	for _, at := range p.attempts {
+		if !at.ended {
+			return
+		}
+	}
+	delete(o.parts, p.id)
+}
+
+// end passes the first outcome of an attempt on; any later one is dropped.
+func (o *Owner) end(at *Attempt, outcome harepass.Outcome, value []byte, when time.Duration) {
+	if at.ended {
+		return
+	}
+	at.ended = true
+	o.deadlines.remove(at.due)
+	if outcome == harepass.Cancelled {
+		outcome = at.reason
+	}
+	if outcome == harepass.Served && at.part.value == nil {
+		at.part.value = value
+	}
+	o.events = append(o.events, harepass.AttemptEnded{Part: at.part.id, Attempt: at.no, Replica: at.Node,
+		Outcome: outcome, Took: max(0, when-at.sent)})
+	o.forget(at.part)
+}
+
+// abandon stops waiting for an attempt. Its outcome follows when the caller has got the word out, so
+// that no other attempt of the part can reach a node before it.
+func (o *Owner) abandon(at *Attempt, reason harepass.Outcome) {
+	if at.ended || at.reason != harepass.Served {
+		return
+	}
+	at.reason = reason
+	o.deadlines.remove(at.due)
+	at.due = o.deadlines.add(o.now+abandonWait, func() { o.end(at, harepass.Cancelled, nil, o.now) })
+	at.caller.Abandon(at)
+}
+
+// perform does what the module asks for, in order; sends to one node leave together as calls.
+func (o *Owner) perform(actions []harepass.Action) {
+	calls := map[string][]*Attempt{}
+	var order []string
+	for _, act := range actions {
+		switch a := act.(type) {
+		case harepass.Send:
+			if at := o.send(a); at != nil {
+				if len(calls[a.Replica]) == 0 {
+					order = append(order, a.Replica)
+				}
+				calls[a.Replica] = append(calls[a.Replica], at)
+			}
+		case harepass.CallOff:
+			if p := o.parts[a.Part]; p != nil && a.Attempt < len(p.attempts) {
+				o.abandon(p.attempts[a.Attempt], harepass.Cancelled)
+			}
+		case harepass.Answer:
+			if q := o.queries[a.Query]; q != nil {
+				ans := Answer{Whole: a.Whole, Values: make([][]byte, len(q.parts))}
+				for i, p := range q.parts {
+					ans.Values[i] = p.value
+				}
+				o.finish(q, ans)
+			}
+		case harepass.Refuse:
+			if q := o.queries[a.Query]; q != nil {
+				o.finish(q, Answer{Verdict: Refused, RetryIn: a.RetryIn})
+			}
+		case harepass.Fail:
+			if q := o.queries[a.Query]; q != nil {
+				o.finish(q, Answer{Verdict: Failed})
+			}
+		case harepass.Disconnect:
+			if c := o.cfg.Callers[o.nodes[a.Replica].Scheme]; c != nil {
+				c.Disconnect(a.Replica)
+			}
+		case harepass.Subscribe:
+			o.cfg.Subscribe()
+		case harepass.WakeIn:
+			o.deadlines.remove(o.wake)
+			o.wake = o.deadlines.add(o.now+a.In, func() { o.events = append(o.events, harepass.Woken{}) })
+		}
+	}
+	for _, id := range order {
+		node, list := o.nodes[id], calls[id]
+		for len(list) > 0 {
+			n := min(len(list), max(1, o.cfg.Settings.CallBatch))
+			o.cfg.Callers[node.Scheme].Call(node, list[:n:n])
+			list = list[n:]
+		}
+	}
+}
+
+// send books an attempt; nil where the part is over, whose outcome is then Moot.
+func (o *Owner) send(a harepass.Send) *Attempt {
+	p := o.parts[a.Part]
+	if p == nil {
+		return nil
+	}
+	at := &Attempt{Query: p.q.ID, Class: p.q.Class, Shard: p.shard, Text: p.q.Text, Timeout: a.Timeout,
+		Node: a.Replica, part: p, no: len(p.attempts), sent: o.now}
+	p.attempts = append(p.attempts, at)
+	at.caller = o.cfg.Callers[o.nodes[a.Replica].Scheme]
+	if o.queries[p.q.id] == nil || at.caller == nil {
+		o.end(at, harepass.Moot, nil, o.now)
+		return nil
+	}
+	at.due = o.deadlines.add(o.now+a.Timeout, func() { o.abandon(at, harepass.TimedOut) })
+	return at
+}
+
+// Ask submits a query and waits for its answer, or for its client to leave.
+func (o *Owner) Ask(q *Query, gone <-chan struct{}) Answer {
+	answers := make(chan Answer, 1)
+	q.Done = func(a Answer) { answers <- a }
+	if !o.Submit(q) {
+		return Answer{Verdict: Refused, RetryIn: o.cfg.Settings.RetryAdvice}
+	}
+	select {
+	case a := <-answers:
+		return a
+	case <-gone:
+		o.Gone(q)
+		return Answer{Verdict: Failed}
+	}
+}
--- /dev/null
+++ b/internal/core/phase.go
@@ -0,0 +1,57 @@
+package core
+
+// Phase is where the program stands between start and exit.
+type Phase int32
+
+// The phases, in order.
+const (
+	Starting Phase = iota // no word of the list yet: not ready for clients
+	Ready                 // serving
+	Draining              // not ready; what is taken is answered, and what still comes is taken
+	Stopped               // nothing is open, and nothing more is taken
+)
+
+func (p Phase) String() string { return [...]string{"starting", "ready", "draining", "stopped"}[p] }
+
+// Phase may be asked from any goroutine.
+func (o *Owner) Phase() Phase { return Phase(o.phase.Load()) }
+
+// Started is closed once the phase has left Starting.
+func (o *Owner) Started() <-chan struct{} { return o.ready }
+
+// Drain begins the end: readiness fails from now on.
+func (o *Owner) Drain() { o.post(draining{}) }
+
+// Stop ends a drained owner once nothing is open; it returns when Run has.
+func (o *Owner) Stop() {
+	o.post(stopping{})
+	<-o.done
+}
+
+type stopping struct{}
+
+func (draining) apply(o *Owner) { o.to(Draining) }
+
+// apply marks the owner as ending; advance ends it when the last query has its answer.
+func (stopping) apply(o *Owner) { o.to(Draining); o.ending = true }
+
+// to moves forward only.
+func (o *Owner) to(p Phase) {
+	if p <= o.Phase() {
+		return
+	}
+	if o.Phase() == Starting {
+		close(o.ready)
+	}
+	o.phase.Store(int32(p))
+}
+
+// advance moves on at the end of a turn where the time for it has come.
+func (o *Owner) advance() {
+	if o.list {
+		o.to(Ready)
+	}
+	if o.ending && len(o.queries) == 0 {
+		o.to(Stopped)
+	}
+}
--- /dev/null
+++ b/internal/http1/client.go
@@ -0,0 +1,60 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Client is one connection to a server, for one request at a time. It dials when it has to.
+type Client struct {
+	Address string
+	Limits  Limits
+
+	c net.Conn
+	r *Reader
+}
+
+// Do sends a request and returns its answer. written tells whether the request's last byte was
+// written: if not, the server cannot have run it. After an error the connection is closed.
+func (cl *Client) Do(ctx context.Context, req *Message) (answer *Message, written bool, err error) {
+	if cl.c == nil {
+		if err := cl.Dial(ctx); err != nil {
+			return nil, false, err
+		}
+	}
+	c := cl.c
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer func() {
+		if !stop() || err != nil || answer.Close {
+			cl.Close()
+		}
+	}()
+	if _, err := c.Write(req.Append(nil)); err != nil {
+		return nil, false, err
+	}
+	for {
+		if answer, err = cl.r.Read(c); err != nil || answer.Status >= 200 {
+			return answer, true, err
+		}
+	}
+}
+
+// Dial connects.
+func (cl *Client) Dial(ctx context.Context) error {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", cl.Address)
+	if err != nil {
+		return err
+	}
+	cl.c, cl.r = c, NewAnswerReader(cl.Limits)
+	return nil
+}
+
+// Close ends the connection; the next Do opens a new one.
+func (cl *Client) Close() {
+	if cl.c != nil {
+		cl.c.Close()
+		cl.c = nil
+	}
+}
--- /dev/null
+++ b/internal/platform/discovery.go
@@ -0,0 +1,134 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/textproto"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/http1"
+)
+
+const (
+	hold      = 10 * time.Second // a watch that brings nothing ends after this
+	listLimit = 2500 * time.Millisecond
+	listBody  = 4 << 20
+)
+
+// List is discovery's form of the list of nodes.
+type List struct {
+	Index     int64      `json:"index"`
+	Snapshot  bool       `json:"snapshot"`
+	Endpoints []Endpoint `json:"endpoints"`
+}
+
+// Endpoint is one entry.
+type Endpoint struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Group   int    `json:"group"`
+	Status  string `json:"status"`
+	SinceMS int64  `json:"since_ms"`
+}
+
+var states = map[string]harepass.ReplicaState{
+	"in_service": harepass.Ready, "terminating": harepass.Draining, "terminated": harepass.Gone}
+
+// Nodes gives the entries as the owner takes them.
+func (l List) Nodes() ([]core.Node, error) {
+	var nodes []core.Node
+	for _, e := range l.Endpoints {
+		state, ok := states[e.Status]
+		if !ok || e.Name == "" {
+			return nil, fmt.Errorf("platform: entry %q has status %q", e.Name, e.Status)
+		}
+		nodes = append(nodes, core.Node{Replica: harepass.Replica{ID: e.Name, Cell: e.Group, Zone: e.Zone, State: state,
+			Since: time.Duration(e.SinceMS) * time.Millisecond}, Address: e.Address, Scheme: Scheme})
+	}
+	return nodes, nil
+}
+
+// Discovery keeps the owner's list as long as it is asked to.
+type Discovery struct {
+	Address string
+	Owner   *core.Owner
+	asked   chan struct{}
+}
+
+// NewDiscovery returns a Discovery for the service at an address; Owner has to be set before Run.
+func NewDiscovery(address string) *Discovery {
+	return &Discovery{Address: address, asked: make(chan struct{}, 1)}
+}
+
+// Subscribe asks for the list and its changes. It does nothing while a subscription stands.
+func (d *Discovery) Subscribe() {
+	select {
+	case d.asked <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves subscriptions until ctx ends. Each begins with the whole list, goes on with watches,
+// and ends with the first failed call, which the owner is told.
+func (d *Discovery) Run(ctx context.Context) {
+	c := &http1.Client{Address: d.Address, Limits: http1.Limits{Head: 16 << 10, Body: listBody}}
+	defer c.Close()
+	for {
+		select {
+		case <-d.asked:
+		case <-ctx.Done():
+			return
+		}
+		err := d.subscription(ctx, c)
+		if ctx.Err() != nil {
+			return
+		}
+		slog.Info("discovery lost", "err", err)
+		c.Close()
+		select { // asked while the subscription stood: it was not needed then
+		case <-d.asked:
+		default:
+		}
+		d.Owner.Listed(harepass.ListRefused, nil)
+	}
+}
+
+func (d *Discovery) subscription(ctx context.Context, c *http1.Client) error {
+	target, limit := "/registry/instances", listLimit
+	for {
+		list, err := call(ctx, c, target, limit)
+		if err != nil {
+			return err
+		}
+		nodes, err := list.Nodes()
+		if err != nil {
+			return err
+		}
+		scope := harepass.ListChanges
+		if list.Snapshot {
+			scope = harepass.ListFull
+		}
+		d.Owner.Listed(scope, nodes)
+		target = fmt.Sprintf("/registry/instances?from=%d&hold_ms=%d", list.Index, hold.Milliseconds())
+		limit = hold + listLimit
+	}
+}
+
+func call(ctx context.Context, c *http1.Client, target string, limit time.Duration) (list List, err error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	m, _, err := c.Do(ctx, &http1.Message{Method: "GET", Target: target,
+		Header: textproto.MIMEHeader{"Host": {c.Address}}})
+	if err != nil {
+		return list, err
+	}
+	if m.Status != 200 {
+		return list, fmt.Errorf("platform: discovery answered %d", m.Status)
+	}
+	return list, json.Unmarshal(m.Body, &list)
+}
--- /dev/null
+++ b/internal/platform/front.go
@@ -0,0 +1,141 @@
+// Package platform speaks the platform's protocol: to clients, to data nodes and to discovery.
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"harepass/internal/core"
+	"harepass/internal/http1"
+)
+
+// Front takes clients' queries.
+type Front struct {
+	Owner *core.Owner
+	Clock core.Clock
+}
+
+type queryBody struct {
+	Slices []struct {
+		Slice int     `json:"slice"`
+		Mass  float64 `json:"mass"`
+	} `json:"slices"`
+	Filter string `json:"filter"`
+}
+
+type answerBody struct {
+	Entire bool   `json:"entire"`
+	Items  []item `json:"items"`
+}
+
+type item struct {
+	Slice int    `json:"slice"`
+	Body  string `json:"body"`
+}
+
+// Handle answers one request.
+func (f *Front) Handle(req *http1.Message, gone <-chan struct{}) *http1.Message {
+	path, _, _ := strings.Cut(req.Target, "?")
+	switch path {
+	case "/api":
+		if req.Method != "POST" {
+			return notAllowed("POST")
+		}
+		return f.query(req, gone)
+	case "/health/ready", "/health/live":
+		if req.Method != "GET" {
+			return notAllowed("GET")
+		}
+		if p := f.Owner.Phase(); path == "/health/ready" && p != core.Ready {
+			return text(503, p.String())
+		}
+		return text(200, "ok")
+	}
+	return text(404, "no such path")
+}
+
+func (f *Front) query(req *http1.Message, gone <-chan struct{}) *http1.Message {
+	q, err := f.parse(req)
+	if err != nil {
+		return text(400, err.Error())
+	}
+	a := f.Owner.Ask(q, gone)
+	switch a.Verdict {
+	case core.Refused:
+		m := text(429, "refused")
+		if a.RetryIn > 0 {
+			m.Header.Set("Retry-After", strconv.FormatFloat(a.RetryIn.Seconds(), 'f', -1, 64))
+		}
+		return m
+	case core.Failed:
+		return text(500, "failed")
+	}
+	body := answerBody{Entire: a.Whole, Items: []item{}}
+	for i, v := range a.Values {
+		if v != nil {
+			body.Items = append(body.Items, item{q.Parts[i].Shard, string(v)})
+		}
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return text(500, "failed")
+	}
+	return &http1.Message{Status: 200, Header: textproto.MIMEHeader{"Content-Type": {"application/json"}}, Body: data}
+}
+
+func (f *Front) parse(req *http1.Message) (*core.Query, error) {
+	q := &core.Query{ID: req.Header.Get("X-Call-Id"), Class: req.Header.Get("X-Call-Class"),
+		Tenant: req.Header.Get("X-Caller"), Retry: req.Header.Get("X-Again") == "1"}
+	if q.ID == "" || strings.ContainsAny(q.ID, " \t") {
+		return nil, fmt.Errorf("bad X-Call-Id")
+	}
+	budget, err := parseBudget(req.Header.Get("X-Budget"))
+	if err != nil {
+		return nil, err
+	}
+	q.Until = f.Clock() + budget
+	var body queryBody
+	if err := json.Unmarshal(req.Body, &body); err != nil {
+		return nil, fmt.Errorf("bad body: %w", err)
+	}
+	if len(body.Slices) == 0 {
+		return nil, fmt.Errorf("no slices")
+	}
+	q.Text = []byte(body.Filter)
+	seen := map[int]bool{}
+	for _, s := range body.Slices {
+		if s.Slice < 0 || s.Mass < 0 || seen[s.Slice] {
+			return nil, fmt.Errorf("bad slice %d", s.Slice)
+		}
+		seen[s.Slice] = true
+		q.Parts = append(q.Parts, core.Part{Shard: s.Slice, Weight: s.Mass})
+	}
+	return q, nil
+}
+
+// parseBudget reads a number followed by m for milliseconds or u for microseconds.
+func parseBudget(s string) (time.Duration, error) {
+	units := map[byte]time.Duration{'m': time.Millisecond, 'u': time.Microsecond}
+	if s == "" || units[s[len(s)-1]] == 0 {
+		return 0, fmt.Errorf("bad X-Budget %q", s)
+	}
+	n, err := strconv.ParseFloat(s[:len(s)-1], 64)
+	if err != nil || !(n >= 0 && n <= 1e12) {
+		return 0, fmt.Errorf("bad X-Budget %q", s)
+	}
+	return time.Duration(n * float64(units[s[len(s)-1]])), nil
+}
+
+func text(status int, words string) *http1.Message {
+	return &http1.Message{Status: status, Header: textproto.MIMEHeader{"Content-Type": {"text/plain"}}, Body: []byte(words + "\n")}
+}
+
+func notAllowed(allow string) *http1.Message {
+	m := text(405, "method not allowed")
+	m.Header.Set("Allow", allow)
+	return m
+}
