--- a/aggregator.go
+++ b/aggregator.go
@@ -294,6 +294,10 @@
 		return
 	}
 	q.end = ev.ValidUntil - max(a.set.Turn, time.Microsecond)
+	q.floor = q.cls.Floor
+	if ev.Whole {
+		q.floor = q.cls.Need
+	}
 	q.aim = min(a.now+q.cls.Aim, q.end) // a client with little time left wants its answer within that
 	a.open = append(a.open, q)
 	a.queries[q.ID] = q
@@ -341,7 +345,7 @@
 	slices.SortStableFunc(light, func(x, y *part) int { return cmp.Compare(x.Weight, y.Weight) })
 	little, sum := min((pressure-lateFrom)/(refuseFrom-lateFrom), lightest), q.cls.Need
 	for _, p := range light {
-		if sum-p.Weight > (q.cls.Need+q.cls.Floor)/2 && p.Weight*float64(len(light)) < little {
+		if sum-p.Weight > (q.cls.Need+q.floor)/2 && p.Weight*float64(len(light)) < little {
 			p.left = true
 			sum -= p.Weight
 		}
@@ -354,7 +358,7 @@
 	slices.SortStableFunc(parts, func(x, y *part) int { return cmp.Compare(a.cost(x), a.cost(y)) })
 	last, sum := 0.0, 0.0
 	for _, p := range parts {
-		if sum < min(q.cls.Need, q.cls.Floor)-weightSlack {
+		if sum < min(q.cls.Need, q.floor)-weightSlack {
 			last, sum = a.cost(p), sum+p.Weight
 		}
 	}
@@ -400,10 +404,10 @@
 
 // drive does what a query needs now: its answer, its end, missing attempts, second copies.
 func (a *Aggregator) drive(q *query) {
-	need, floor := q.cls.Need, min(q.cls.Floor, q.cls.Need)
+	need, floor := q.cls.Need, min(q.floor, q.cls.Need)
 	if q.step > 0 {
 		need = 1
-		if q.cls.Floor >= q.cls.Need {
+		if q.floor >= q.cls.Need {
 			floor = 1
 		}
 	}
--- a/api.go
+++ b/api.go
@@ -147,6 +147,7 @@
 		ValidUntil time.Duration // when the client gives this try up
 		Parts      int
 		IsRetry    bool
+		Whole      bool // the client takes no answer in part
 	}
 	// PartArrived brings one part of the query of that number.
 	PartArrived struct {
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -16,63 +17,183 @@
 	"harepass"
 	"harepass/internal/core"
 	"harepass/internal/http1"
+	"harepass/internal/inventory"
+	"harepass/internal/opensearch"
 	"harepass/internal/platform"
 )
 
 const (
 	acceptAfterTerm = 700 * time.Millisecond // clients find out late that a coordinator leaves
 	memoryShare     = 0.6                    // of the limit, for the collector; stacks and buffers of sockets come on top
-	nodeSockets     = 256                    // descriptors kept for nodes, discovery and the program's own
+	nodeSockets     = 320                    // descriptors kept for nodes, discovery and the program's own
+	apiBody         = 256 << 10              // bytes of a request of the OpenSearch-style API
 )
 
+// flags are those of serve and check.
+func flags(name string, args []string) (searchPath string, err error) {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.StringVar(&searchPath, "opensearch", defaultSearch, "the OpenSearch front's file; the front is off where the default is missing")
+	return searchPath, parse(fs, args)
+}
+
+// check reads all that serve would and starts nothing.
+func check(args []string, out io.Writer) error {
+	path, err := flags("check", args)
+	if err != nil {
+		return err
+	}
+	s, err := load(os.Getenv, path, core.SystemClock())
+	if err == nil {
+		_, err = core.New(core.Config{Settings: s.settings})
+	}
+	if err != nil {
+		return usageError{err}
+	}
+	fmt.Fprintf(out, "settings: %d classes, %d tenants, %d cells\n", len(s.settings.Classes), len(s.settings.Tenants), s.settings.Cells)
+	if s.config != nil {
+		fmt.Fprintf(out, "platform: %s on %s, discovery at %s\n", s.config.Name, s.config.Listen, s.config.Discovery)
+	}
+	if s.search != nil {
+		fmt.Fprintf(out, "opensearch: on %s, %d indices, %d callers\n", s.search.Listen, len(s.search.Indices), len(s.search.Callers))
+	}
+	if s.inventory != nil {
+		fmt.Fprintf(out, "inventory: %s, %d hosts\n", s.inventory.Path, len(s.hosts))
+	}
+	_, err = fmt.Fprintln(out, "ok")
+	return err
+}
+
+// program is a running coordinator.
+type program struct {
+	*setup
+	clock   core.Clock
+	owner   *core.Owner
+	closers []func()
+	servers []*http1.Server
+	listens []net.Listener
+}
+
 func serve(args []string, _ io.Writer) error {
-	if err := parse(flag.NewFlagSet("serve", flag.ContinueOnError), args); err != nil {
+	path, err := flags("serve", args)
+	if err != nil {
 		return err
 	}
-	cfg, err := loadConfig(os.Getenv)
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	clock := core.SystemClock()
+	s, err := load(os.Getenv, path, clock)
 	if err != nil {
+		return usageError{err}
+	}
+	debug.SetMemoryLimit(int64(float64(s.limits.MemoryMB) * memoryShare * (1 << 20)))
+	runtime.GOMAXPROCS(max(1, int(s.limits.Cores)))
+	p := &program{setup: s, clock: clock}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := p.start(ctx); err != nil {
 		return err
 	}
-	if cfg.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB) * memoryShare * (1 << 20)))
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		p.reload()
 	}
-	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
+	p.drain()
+	return nil
+}
 
-	clock := core.SystemClock()
-	disc := platform.NewDiscovery(cfg.Discovery)
-	nodes := &platform.Nodes{Streams: cfg.caps.Streams, ConnectTimeout: cfg.caps.ConnectTimeout, KeepAlive: cfg.caps.KeepAlive}
-	owner, err := core.New(core.Config{Seed: cfg.seed, Settings: cfg.settings, Limits: core.Limits{Open: cfg.caps.Open},
-		Clock: clock, Callers: map[string]core.Caller{platform.Scheme: nodes}, Subscribe: disc.Subscribe})
+// start builds the owner with its callers and fronts and sets all going.
+func (p *program) start(ctx context.Context) error {
+	frames := &platform.Nodes{Streams: p.caps.Streams, ConnectTimeout: p.caps.ConnectTimeout, KeepAlive: p.caps.KeepAlive}
+	cfg := core.Config{Seed: p.seed, Settings: p.settings, Limits: core.Limits{Open: p.caps.Open}, Clock: p.clock,
+		Callers: map[string]core.Caller{platform.Scheme: frames}, Subscribe: func() {}}
+	p.closers = append(p.closers, frames.Close)
+	var api *opensearch.Nodes
+	if p.search != nil {
+		api = &opensearch.Nodes{Config: p.search, ConnectTimeout: p.caps.ConnectTimeout, KeepAlive: p.caps.KeepAlive}
+		cfg.Callers[opensearch.Scheme] = api
+		p.closers = append(p.closers, api.Close)
+	}
+	var disc *platform.Discovery
+	if p.config != nil {
+		disc = platform.NewDiscovery(p.config.Discovery)
+		cfg.Subscribe = disc.Subscribe
+	}
+	owner, err := core.New(cfg)
 	if err != nil {
 		return usageError{err}
 	}
-	disc.Owner, nodes.Owner = owner, owner
-	owner.Listed(harepass.ListRemembered, cfg.known)
+	p.owner, frames.Owner = owner, owner
+	go owner.Run()
+	if p.inventory != nil {
+		owner.Listed(inventory.Source, harepass.ListFull, p.hosts)
+	}
+	if p.search != nil {
+		api.Owner = owner
+		front := &opensearch.Front{Config: p.search, Owner: owner, Clock: p.clock, Version: version}
+		if err := p.listen(p.search.Listen, &http1.Server{Handler: front.Handle, Fault: opensearch.Fault,
+			Limits: http1.Limits{Head: http1.DefaultLimits.Head, Body: apiBody}}); err != nil {
+			return err
+		}
+	}
+	if p.config != nil {
+		owner.Listed(platform.Source, harepass.ListRemembered, p.known)
+		disc.Owner = owner
+		go disc.Run(ctx)
+		front := &platform.Front{Owner: owner, Clock: p.clock}
+		if err := p.listen(p.config.Listen, &http1.Server{Handler: front.Handle, Limits: http1.DefaultLimits}); err != nil {
+			return err
+		}
+	}
+	for i, s := range p.servers {
+		s.Conns = max(1, (p.limits.Sockets-nodeSockets)/len(p.servers))
+		go s.Serve(p.listens[i])
+	}
+	return nil
+}
 
-	listener, err := net.Listen("tcp", cfg.Listen)
+func (p *program) listen(address string, s *http1.Server) error {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	front := &platform.Front{Owner: owner, Clock: clock}
-	server := &http1.Server{Handler: front.Handle, Limits: http1.DefaultLimits, Conns: max(1, cfg.Limits.Sockets-nodeSockets)}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go owner.Run()
-	go disc.Run(ctx)
-	go server.Serve(listener)
-	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
+	slog.Info("serving", "listen", l.Addr().String())
+	p.listens, p.servers = append(p.listens, l), append(p.servers, s)
+	return nil
+}
+
+// reload reads the inventory again; the list stays as it is where that fails.
+func (p *program) reload() {
+	if p.inventory == nil {
+		return
+	}
+	nodes, err := p.inventory.Read(p.clock())
+	if err != nil {
+		slog.Error("inventory not reloaded", "err", err)
+		return
+	}
+	slog.Info("inventory reloaded", "nodes", len(nodes))
+	p.owner.Listed(inventory.Source, harepass.ListFull, nodes)
+}
 
-	<-term
+// drain answers all that is taken, and takes what still comes while clients learn that this coordinator ends.
+func (p *program) drain() {
 	slog.Info("draining")
-	owner.Drain()
-	server.Drain()
+	p.owner.Drain()
+	for _, s := range p.servers {
+		s.Drain()
+	}
 	time.Sleep(acceptAfterTerm)
-	listener.Close()
-	server.Shutdown()
-	owner.Stop()
-	nodes.Close()
+	for _, l := range p.listens {
+		l.Close()
+	}
+	for _, s := range p.servers {
+		s.Shutdown()
+	}
+	p.owner.Stop()
+	for _, end := range p.closers {
+		end()
+	}
 	slog.Info("stopped")
-	return nil
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,7 +6,9 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -34,7 +36,9 @@
 	Tenant string
 	Until  time.Duration // when the client gives up, on the owner's clock
 	Retry  bool
+	Whole  bool   // no answer in part is wanted
 	Text   []byte // what each part carries to its node
+	Origin any    // the front's own form of the query, for callers that know it
 	Parts  []Part
 	Done   func(Answer)
 }
@@ -76,6 +80,7 @@
 	Class   string
 	Shard   int
 	Text    []byte
+	Origin  any
 	Timeout time.Duration
 	Node    string
 
@@ -132,7 +137,7 @@
 	queries   map[string]*query // by the module's id
 	byQuery   map[*Query]*query
 	parts     map[string]*part
-	nodes     map[string]Node
+	nodes     map[string]listedNode
 	events    []harepass.Event
 	deadlines deadlines
 	wake      *deadline
@@ -141,6 +146,11 @@
 	ending    bool // to stop when nothing is open
 }
 
+type listedNode struct {
+	Node
+	source string
+}
+
 type query struct {
 	*Query
 	id    string
@@ -170,7 +180,7 @@
 	}
 	return &Owner{cfg: cfg, agg: agg, queue: make(chan message, queueSize), done: make(chan struct{}),
 		ready: make(chan struct{}), queries: map[string]*query{}, byQuery: map[*Query]*query{},
-		parts: map[string]*part{}, nodes: map[string]Node{}, deadlines: newDeadlines()}, nil
+		parts: map[string]*part{}, nodes: map[string]listedNode{}, deadlines: newDeadlines()}, nil
 }
 
 // message is something that another goroutine tells the owner.
@@ -186,8 +196,9 @@
 		when    time.Duration
 	}
 	listed struct {
-		scope harepass.ListScope
-		nodes []Node
+		source string
+		scope  harepass.ListScope
+		nodes  []Node
 	}
 	draining struct{}
 )
@@ -213,8 +224,11 @@
 	o.post(ended{at, outcome, value, o.cfg.Clock()})
 }
 
-// Listed brings the list of nodes, its changes, or the news that it could not be had.
-func (o *Owner) Listed(scope harepass.ListScope, nodes []Node) { o.post(listed{scope, nodes}) }
+// Listed brings a source's list of nodes, its changes, or the news that it could not be had. A full list
+// takes away only what the same source had named.
+func (o *Owner) Listed(source string, scope harepass.ListScope, nodes []Node) {
+	o.post(listed{source, scope, nodes})
+}
 
 // post waits for room: socket goroutines may, the owner never posts.
 func (o *Owner) post(m message) {
@@ -277,7 +291,7 @@
 	o.queries[q.id], o.byQuery[m.q] = q, q
 	q.due = o.deadlines.add(q.Until+overdue, func() { o.overdue(q) })
 	o.events = append(o.events, harepass.QueryArrived{ID: q.id, Number: o.next, Class: q.Class,
-		Tenant: q.Tenant, ValidUntil: q.Until, Parts: len(q.Parts), IsRetry: q.Retry})
+		Tenant: q.Tenant, ValidUntil: q.Until, Parts: len(q.Parts), IsRetry: q.Retry, Whole: q.Whole})
 	for i, p := range q.Parts {
 		pt := &part{id: q.id + "." + strconv.Itoa(i), index: i, shard: p.Shard, q: q}
 		q.parts = append(q.parts, pt)
@@ -297,8 +311,18 @@
 
 func (m listed) apply(o *Owner) {
 	ev := harepass.ListReceived{Scope: m.scope}
+	if m.scope == harepass.ListFull || m.scope == harepass.ListRemembered {
+		for id, n := range o.nodes {
+			if n.source == m.source {
+				delete(o.nodes, id)
+			} else {
+				ev.Replicas = append(ev.Replicas, n.Replica)
+			}
+		}
+		slices.SortFunc(ev.Replicas, func(x, y harepass.Replica) int { return strings.Compare(x.ID, y.ID) })
+	}
 	for _, n := range m.nodes {
-		o.nodes[n.ID] = n
+		o.nodes[n.ID] = listedNode{n, m.source}
 		ev.Replicas = append(ev.Replicas, n.Replica)
 	}
 	o.events = append(o.events, ev)
@@ -421,7 +445,7 @@
 		node, list := o.nodes[id], calls[id]
 		for len(list) > 0 {
 			n := min(len(list), max(1, o.cfg.Settings.CallBatch))
-			o.cfg.Callers[node.Scheme].Call(node, list[:n:n])
+			o.cfg.Callers[node.Scheme].Call(node.Node, list[:n:n])
 			list = list[n:]
 		}
 	}
@@ -433,8 +457,8 @@
 	if p == nil {
 		return nil
 	}
-	at := &Attempt{Query: p.q.ID, Class: p.q.Class, Shard: p.shard, Text: p.q.Text, Timeout: a.Timeout,
-		Node: a.Replica, part: p, no: len(p.attempts), sent: o.now}
+	at := &Attempt{Query: p.q.ID, Class: p.q.Class, Shard: p.shard, Text: p.q.Text, Origin: p.q.Origin,
+		Timeout: a.Timeout, Node: a.Replica, part: p, no: len(p.attempts), sent: o.now}
 	p.attempts = append(p.attempts, at)
 	at.caller = o.cfg.Callers[o.nodes[a.Replica].Scheme]
 	if o.queries[p.q.id] == nil || at.caller == nil {
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 )
 
@@ -51,6 +52,25 @@
 	return nil
 }
 
+// Alive tells whether the idle connection still stands: nothing has come in, not even its end.
+func (cl *Client) Alive() bool {
+	sc, ok := cl.c.(syscall.Conn)
+	if !ok {
+		return cl.c != nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		alive = err == syscall.EAGAIN
+		return true
+	})
+	return alive && err == nil
+}
+
 // Close ends the connection; the next Do opens a new one.
 func (cl *Client) Close() {
 	if cl.c != nil {
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -31,6 +31,8 @@
 	Header         textproto.MIMEHeader
 	Body           []byte
 	Close          bool // the connection ends after this message
+
+	head bool // the answer to a HEAD: its length is told, its body left out
 }
 
 // Error is a fault in what the peer sent, with the status that says so.
@@ -374,10 +376,15 @@
 	if m.Method != "GET" {
 		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(m.Body))
 	}
-	return append(append(b, "\r\n"...), m.Body...)
+	b = append(b, "\r\n"...)
+	if m.head {
+		return b
+	}
+	return append(b, m.Body...)
 }
 
 var reasons = map[int]string{200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found",
-	405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large", 429: "Too Many Requests",
+	403: "Forbidden",
+	405: "Method Not Allowed", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
 	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported"}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -24,7 +24,8 @@
 type Server struct {
 	Handler Handler
 	Limits  Limits
-	Conns   int // connections held at once; the longest idle one makes room for the next
+	Fault   func(*Error) *Message // words what is wrong with a request, in place of plain text
+	Conns   int                   // connections held at once; the longest idle one makes room for the next
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -146,19 +147,29 @@
 		if r.err != nil {
 			var bad *Error
 			if errors.As(r.err, &bad) {
-				c.answer(&Message{Status: bad.Status, Header: textproto.MIMEHeader{}, Body: []byte(bad.Text + "\n"), Close: true})
+				m := c.s.fault(bad)
+				m.Close = true
+				c.answer(m)
 				c.linger()
 			}
 			return
 		}
 		a := c.s.Handler(r.req, gone)
 		a.Close = a.Close || r.req.Close
+		a.head = r.req.Method == "HEAD"
 		if !c.answer(a) || a.Close {
 			return
 		}
 	}
 }
 
+func (s *Server) fault(e *Error) *Message {
+	if s.Fault != nil {
+		return s.Fault(e)
+	}
+	return &Message{Status: e.Status, Header: textproto.MIMEHeader{"Content-Type": {"text/plain"}}, Body: []byte(e.Text + "\n")}
+}
+
 // answer writes a whole answer.
 func (c *conn) answer(a *Message) bool {
 	c.s.mu.Lock()
--- /dev/null
+++ b/internal/opensearch/nodes.go
@@ -0,0 +1,234 @@
+package opensearch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/textproto"
+	"net/url"
+	"sync"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/http1"
+)
+
+// Scheme names the nodes that offer the API.
+const Scheme = "opensearch"
+
+const (
+	perNode   = 16      // connections to a node; one carries one request at a time
+	nodeBody  = 1 << 20 // bytes of a node's answer
+	idleShare = 0.8     // of the time after which nodes close idle connections: later ones are not trusted
+)
+
+// Nodes calls map nodes that offer the API. It is a core.Caller.
+type Nodes struct {
+	Owner          *core.Owner
+	Config         *Config
+	ConnectTimeout time.Duration
+	KeepAlive      time.Duration
+
+	mu    sync.Mutex
+	nodes map[string]*node
+	sends map[*core.Attempt]context.CancelFunc
+}
+
+type node struct {
+	slots chan struct{} // one taken for each connection in use
+	idle  []idleConn    // the last used last
+}
+
+type idleConn struct {
+	client *http1.Client
+	since  time.Time
+}
+
+// Call implements core.Caller. The API has no call of several parts: each has a request of its own.
+func (n *Nodes) Call(to core.Node, attempts []*core.Attempt) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.nodes == nil {
+		n.nodes, n.sends = map[string]*node{}, map[*core.Attempt]context.CancelFunc{}
+	}
+	nd := n.nodes[to.ID]
+	if nd == nil {
+		nd = &node{slots: make(chan struct{}, perNode)}
+		n.nodes[to.ID] = nd
+	}
+	for _, at := range attempts {
+		ctx, cancel := context.WithCancel(context.Background())
+		n.sends[at] = cancel
+		go func() {
+			outcome, value := n.send(ctx, nd, to.Address, at)
+			n.mu.Lock()
+			delete(n.sends, at)
+			n.mu.Unlock()
+			cancel()
+			n.Owner.Ended(at, outcome, value)
+		}()
+	}
+}
+
+// Abandon implements core.Caller. The API cannot take a request back: its connection is closed.
+func (n *Nodes) Abandon(at *core.Attempt) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if cancel := n.sends[at]; cancel != nil {
+		cancel()
+	}
+}
+
+// Disconnect implements core.Caller.
+func (n *Nodes) Disconnect(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if nd := n.nodes[id]; nd != nil {
+		for _, c := range nd.idle {
+			c.client.Close()
+		}
+		nd.idle = nil
+	}
+}
+
+// Close ends all idle connections.
+func (n *Nodes) Close() {
+	n.mu.Lock()
+	var ids []string
+	for id := range n.nodes {
+		ids = append(ids, id)
+	}
+	n.mu.Unlock()
+	for _, id := range ids {
+		n.Disconnect(id)
+	}
+}
+
+// send makes one request and tells how it ended.
+func (n *Nodes) send(ctx context.Context, nd *node, address string, at *core.Attempt) (harepass.Outcome, []byte) {
+	select {
+	case nd.slots <- struct{}{}:
+		defer func() { <-nd.slots }()
+	case <-ctx.Done():
+		return harepass.Moot, nil
+	}
+	req, ok := n.request(at)
+	if !ok {
+		return harepass.Moot, nil
+	}
+	req.Header.Set("Host", address)
+	c, err := n.connect(ctx, nd, address)
+	if err != nil {
+		if ctx.Err() != nil {
+			return harepass.Moot, nil
+		}
+		return harepass.ConnectFailed, nil
+	}
+	m, written, err := c.Do(ctx, req)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return harepass.Cancelled, nil
+	case err != nil && !written:
+		return harepass.ConnectFailed, nil
+	case err != nil:
+		return harepass.Reset, nil
+	}
+	n.mu.Lock()
+	nd.idle = append(nd.idle, idleConn{c, time.Now()})
+	n.mu.Unlock()
+	return outcome(m)
+}
+
+// connect takes an idle connection that still stands, or opens one.
+func (n *Nodes) connect(ctx context.Context, nd *node, address string) (*http1.Client, error) {
+	for {
+		n.mu.Lock()
+		last := len(nd.idle) - 1
+		if last < 0 {
+			n.mu.Unlock()
+			break
+		}
+		c := nd.idle[last]
+		nd.idle = nd.idle[:last]
+		n.mu.Unlock()
+		if c.client.Address == address && time.Since(c.since) < time.Duration(float64(n.KeepAlive)*idleShare) && c.client.Alive() {
+			return c.client, nil
+		}
+		c.client.Close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.ConnectTimeout)
+	defer cancel()
+	c := &http1.Client{Address: address, Limits: http1.Limits{Head: http1.DefaultLimits.Head, Body: nodeBody}}
+	return c, c.Dial(ctx)
+}
+
+// request words an attempt; a query of another front goes to the index of its class.
+func (n *Nodes) request(at *core.Attempt) (*http1.Message, bool) {
+	switch q := at.Origin.(type) {
+	case *search:
+		return searchRequest(q.index, at, q.body), true
+	case *report:
+		return reportRequest(q, at), true
+	}
+	ix := n.Config.ofClass(at.Class)
+	if ix == nil {
+		return nil, false
+	}
+	if ix.Reports {
+		doc, _ := json.Marshal(map[string]any{n.Config.SectionField: at.Shard, "filter": string(at.Text)}) // cannot fail
+		return reportRequest(&report{index: ix, section: at.Shard, id: at.Query, create: true, doc: doc}, at), true
+	}
+	body, _ := json.Marshal(map[string]any{"query": map[string]any{"term": map[string]string{"filter": string(at.Text)}}}) // cannot fail
+	return searchRequest(ix, at, body), true
+}
+
+func searchRequest(ix *Index, at *core.Attempt, body []byte) *http1.Message {
+	return request("POST", fmt.Sprintf("/%s/_search?preference=_shards:%d&allow_partial_search_results=false&timeout=%dms",
+		url.PathEscape(ix.name), at.Shard, max(1, at.Timeout.Milliseconds())), body)
+}
+
+func reportRequest(r *report, at *core.Attempt) *http1.Message {
+	op := "_doc"
+	if r.create {
+		op = "_create"
+	}
+	return request("PUT", fmt.Sprintf("/%s/%s/%s?routing=%d&timeout=%dms",
+		url.PathEscape(r.index.name), op, url.PathEscape(r.id), r.section, max(1, at.Timeout.Milliseconds())), r.doc)
+}
+
+func request(method, target string, body []byte) *http1.Message {
+	return &http1.Message{Method: method, Target: target, Body: body,
+		Header: textproto.MIMEHeader{"Content-Type": {"application/json"}}}
+}
+
+// rejections are the errors that say that a thread pool's queue was full, so that the request never began.
+// Other errors with status 429, a tripped circuit breaker for one, can come when part of it has run.
+var rejections = map[string]bool{"rejected_execution_exception": true, "es_rejected_execution_exception": true,
+	"opensearch_rejected_execution_exception": true}
+
+// outcome reads a node's answer. A search answer that the node itself does not call whole is none.
+func outcome(m *http1.Message) (harepass.Outcome, []byte) {
+	var body struct {
+		Error struct {
+			Type string `json:"type"`
+		} `json:"error"`
+		TimedOut bool            `json:"timed_out"`
+		Shards   *shards         `json:"_shards"`
+		Hits     json.RawMessage `json:"hits"`
+		Result   string          `json:"result"`
+	}
+	bad := json.Unmarshal(m.Body, &body) != nil
+	switch {
+	case bad:
+	case m.Status == 429 && rejections[body.Error.Type]:
+		return harepass.Full, nil
+	case m.Status == 409 && body.Error.Type == "version_conflict_engine_exception":
+		return harepass.Served, m.Body // the document is there: a final word on it
+	case (m.Status == 200 || m.Status == 201) && body.Result != "":
+		return harepass.Served, m.Body
+	case m.Status == 200 && len(body.Hits) > 0 && !body.TimedOut && body.Shards != nil && body.Shards.Failed == 0:
+		return harepass.Served, body.Hits
+	}
+	return harepass.Errored, nil
+}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -19,6 +19,9 @@
 	listBody  = 4 << 20
 )
 
+// Source names discovery as a source of nodes.
+const Source = "discovery"
+
 // List is discovery's form of the list of nodes.
 type List struct {
 	Index     int64      `json:"index"`
@@ -94,7 +97,7 @@
 		case <-d.asked:
 		default:
 		}
-		d.Owner.Listed(harepass.ListRefused, nil)
+		d.Owner.Listed(Source, harepass.ListRefused, nil)
 	}
 }
 
@@ -113,7 +116,7 @@
 		if list.Snapshot {
 			scope = harepass.ListFull
 		}
-		d.Owner.Listed(scope, nodes)
+		d.Owner.Listed(Source, scope, nodes)
 		target = fmt.Sprintf("/registry/instances?from=%d&hold_ms=%d", list.Index, hold.Milliseconds())
 		limit = hold + listLimit
 	}
--- a/internal/wire/json.go
+++ b/internal/wire/json.go
@@ -13,6 +13,7 @@
 
 // Limits are the settings that bind the root round the module rather than the module.
 type Limits struct {
+	Shards         int
 	Open           int // queries and parts held at once
 	Streams        int // calls that one connection carries at once
 	ConnectTimeout time.Duration
@@ -31,7 +32,7 @@
 	f := &fields{name: "settings", vals: map[string]string{}}
 	flatten(f.vals, "", tree)
 	s := settings(f)
-	l := Limits{Open: f.optNum("caps.open_cap", 0), Streams: f.optNum("caps.streams_per_conn", 1),
+	l := Limits{Shards: f.optNum("family_info.shards", 0), Open: f.optNum("caps.open_cap", 0), Streams: f.optNum("caps.streams_per_conn", 1),
 		ConnectTimeout: f.optUS("caps.connect_timeout_us"), KeepAlive: f.optUS("caps.keepalive_us")}
 	return s, l, f.err
 }
--- a/state.go
+++ b/state.go
@@ -118,6 +118,7 @@
 	aim, end time.Duration
 	parts    []*part
 	step     int
+	floor    float64 // least share of the weight for an answer
 	weight   float64 // of the served parts of this step
 	whole    bool    // the first step's answer was whole
 	race     map[*replica]float64
