--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -7,10 +7,22 @@
 	"time"
 )
 
+// Dialer opens a connection to an address.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// Connect opens a connection, by plain TCP if d is nil.
+func (d Dialer) Connect(ctx context.Context, address string) (net.Conn, error) {
+	if d != nil {
+		return d(ctx, address)
+	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
 // Client is one connection to a server, for one request at a time. It dials when it has to.
 type Client struct {
 	Address string
 	Limits  Limits
+	Dial    Dialer // nil for plain TCP
 
 	c net.Conn
 	r *Reader
@@ -20,7 +32,7 @@
 // written: if not, the server cannot have run it. After an error the connection is closed.
 func (cl *Client) Do(ctx context.Context, req *Message) (answer *Message, written bool, err error) {
 	if cl.c == nil {
-		if err := cl.Dial(ctx); err != nil {
+		if err := cl.Connect(ctx); err != nil {
 			return nil, false, err
 		}
 	}
@@ -41,15 +53,13 @@
 	}
 }
 
-// Dial connects.
-func (cl *Client) Dial(ctx context.Context) error {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", cl.Address)
-	if err != nil {
-		return err
+// Connect opens the connection.
+func (cl *Client) Connect(ctx context.Context) error {
+	c, err := cl.Dial.Connect(ctx, cl.Address)
+	if err == nil {
+		cl.c, cl.r = c, NewAnswerReader(cl.Limits)
 	}
-	cl.c, cl.r = c, NewAnswerReader(cl.Limits)
-	return nil
+	return err
 }
 
 // Alive tells whether the idle connection still stands: nothing has come in, not even its end.
--- a/internal/opensearch/nodes.go
+++ b/internal/opensearch/nodes.go
@@ -29,6 +29,7 @@
 	Config         *Config
 	ConnectTimeout time.Duration
 	KeepAlive      time.Duration
+	Dial           http1.Dialer // nil for plain TCP
 
 	mu    sync.Mutex
 	nodes map[string]*node
@@ -159,8 +160,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.ConnectTimeout)
 	defer cancel()
-	c := &http1.Client{Address: address, Limits: http1.Limits{Head: http1.DefaultLimits.Head, Body: nodeBody}}
-	return c, c.Dial(ctx)
+	c := &http1.Client{Address: address, Dial: n.Dial,
+		Limits: http1.Limits{Head: http1.DefaultLimits.Head, Body: nodeBody}}
+	return c, c.Connect(ctx)
 }
 
 // request words an attempt; a query of another front goes to the index of its class.
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"slices"
@@ -10,6 +11,7 @@
 	"harepass"
 	"harepass/internal/buffer"
 	"harepass/internal/core"
+	"harepass/internal/http1"
 )
 
 // Scheme names the data nodes' frames.
@@ -23,6 +25,7 @@
 	Streams        int // calls that one connection carries at once
 	ConnectTimeout time.Duration
 	KeepAlive      time.Duration // idle connections are closed by nodes after this
+	Dial           http1.Dialer  // nil for plain TCP
 
 	mu    sync.Mutex // guards all below, connections included; nothing blocks under it
 	conns map[string][]*nodeConn
@@ -183,7 +186,9 @@
 // run connects, writes what is queued, and ends what is left when the connection breaks.
 func (c *nodeConn) run() {
 	defer c.finish()
-	conn, err := net.DialTimeout("tcp", c.address, c.nodes.ConnectTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), c.nodes.ConnectTimeout)
+	conn, err := c.nodes.Dial.Connect(ctx, c.address)
+	cancel()
 	if err != nil {
 		slog.Debug("connect", "node", c.node, "err", err)
 		return
