--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,6 +104,11 @@
 	Disconnect(node string)
 }
 
+// Reporter takes the outcomes of attempts; it is the Owner, but for tests of callers.
+type Reporter interface {
+	Ended(at *Attempt, outcome harepass.Outcome, value []byte)
+}
+
 // Config is what an Owner is made of.
 type Config struct {
 	Seed      uint64
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -137,18 +137,11 @@
 }
 
 // line returns the next line without its CRLF and consumes it; ok is false while it is not all there.
-func (r *Reader) line(limit int) (text string, ok bool, err error) {
+func (r *Reader) line() (text string, ok bool, err error) {
 	b := r.Buffer.Bytes()
-	i := bytes.IndexByte(b[min(r.seen, len(b)):], '\n')
-	if i < 0 {
-		if r.seen = len(b); r.seen > limit {
-			return "", false, &Error{431, "line too long"}
-		}
-		return "", false, nil
-	}
-	i += r.seen
-	if i == 0 || b[i-1] != '\r' {
-		return "", false, malformed("line ends without CR")
+	i, err := r.newline(b, r.limits.Head)
+	if i < 0 || err != nil {
+		return "", false, err
 	}
 	text = string(b[:i-1])
 	r.Buffer.Consume(i + 1)
@@ -156,34 +149,40 @@
 	return text, true, nil
 }
 
+// newline finds the next line end, which has to come within limit bytes however the bytes come in.
+func (r *Reader) newline(b []byte, limit int) (int, error) {
+	window := b[:min(len(b), limit)]
+	i := bytes.IndexByte(window[r.seen:], '\n')
+	switch i += r.seen; {
+	case i < r.seen && len(b) > limit:
+		return -1, &Error{431, "header too large"}
+	case i < r.seen:
+		r.seen = len(window)
+		return -1, nil
+	case i == 0 || b[i-1] != '\r':
+		return -1, malformed("line ends without CR")
+	}
+	return i, nil
+}
+
 // head reads start line and headers once all are there.
 func (r *Reader) head() (more bool, err error) {
 	b := r.Buffer.Bytes()
-	if r.seen == 0 && bytes.HasPrefix(b, []byte("\r\n")) { // an empty line before a request is let pass
+	for r.seen <= 1 && bytes.HasPrefix(b, []byte("\r\n")) { // empty lines before a request are let pass
 		r.Buffer.Consume(2)
-		b = r.Buffer.Bytes()
+		b, r.seen = r.Buffer.Bytes(), 0
 	}
 	end := 0
 	for end == 0 {
-		i := bytes.IndexByte(b[r.seen:], '\n')
-		if i < 0 {
-			if len(b) > r.limits.Head {
-				return false, &Error{431, "header too large"}
-			}
-			return true, nil
-		}
-		at := r.seen + i
-		if at == 0 || b[at-1] != '\r' {
-			return false, malformed("line ends without CR")
+		at, err := r.newline(b, r.limits.Head)
+		if at < 0 || err != nil {
+			return true, err
 		}
 		if at >= 3 && b[at-2] == '\n' {
 			end = at + 1
 		}
 		r.seen = at + 1
 	}
-	if end > r.limits.Head {
-		return false, &Error{431, "header too large"}
-	}
 	head := b[:end]
 	start, fields, _ := bytes.Cut(head, []byte("\r\n"))
 	m := &Message{}
@@ -291,7 +290,7 @@
 }
 
 func (r *Reader) chunkSize() (more bool, err error) {
-	line, ok, err := r.line(r.limits.Head)
+	line, ok, err := r.line()
 	if !ok {
 		return true, err
 	}
@@ -313,19 +312,20 @@
 	if r.left > 0 {
 		return r.take(inChunk)
 	}
-	line, ok, err := r.line(0)
-	if err != nil || !ok {
-		return true, err
-	}
-	if line != "" {
+	b := r.Buffer.Bytes()
+	if !bytes.HasPrefix([]byte("\r\n"), b[:min(2, len(b))]) {
 		return false, malformed("chunk longer than its size")
 	}
+	if len(b) < 2 {
+		return true, nil
+	}
+	r.Buffer.Consume(2)
 	r.state = inSize
 	return false, nil
 }
 
 func (r *Reader) endChunks() (more bool, err error) {
-	line, ok, err := r.line(r.limits.Head)
+	line, ok, err := r.line()
 	if !ok {
 		return true, err
 	}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/textproto"
+	"os"
 	"sync"
 	"time"
 )
@@ -200,7 +201,8 @@
 		req, err := r.Read(watched{c, r})
 		if err != nil {
 			var bad *Error
-			if !errors.As(err, &bad) {
+			// A pipelined request that stalls ends the connection, but its client waits for the one before.
+			if !errors.As(err, &bad) && !errors.Is(err, os.ErrDeadlineExceeded) {
 				close(gone)
 			}
 		}
--- /dev/null
+++ b/internal/http1/server_test.go
@@ -0,0 +1,181 @@
+package http1
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"harepass/internal/standin"
+)
+
+// FuzzServer plays one client's connection step by step against a model of its states: idle, reading a
+// request, handling it, ended. Each request gets one answer, in order, and only when it is handled.
+func FuzzServer(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 0, 1, 2})
+	f.Add([]byte{0, 0, 1, 1, 2, 2, 3})
+	f.Add([]byte{0, 4, 1, 2, 0, 1})
+	f.Add([]byte{0, 1, 3, 2})
+	f.Add([]byte{0, 5, 1, 2})
+	f.Add([]byte{6, 0, 1, 2, 5})
+	f.Add([]byte{0, 1, 4, 2, 5, 0})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		synctest.Test(t, func(t *testing.T) { playServer(t, steps[:min(len(steps), 60)]) })
+	})
+}
+
+func playServer(t *testing.T, steps []byte) {
+	var memory standin.Net
+	l := memory.Listen("s")
+	finish, left := make(chan struct{}), 0
+	s := &Server{Limits: small, Handler: func(req *Message, gone <-chan struct{}) *Message {
+		select {
+		case <-finish:
+		case <-gone:
+			left++
+		}
+		return &Message{Status: 200, Header: textproto.MIMEHeader{}, Body: []byte(req.Target)}
+	}}
+	served := make(chan error)
+	go func() { served <- s.Serve(l) }()
+	c, err := memory.Dial(context.Background(), "s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var answers strings.Builder // all that the server sends
+	ended := make(chan struct{})
+	go func() {
+		io.Copy(&answers, c)
+		close(ended)
+	}()
+	write := func(text string) { // the server reads one request ahead and lets the rest wait
+		go c.Write([]byte(text))
+		synctest.Wait()
+	}
+	begun, whole, handled, wantLeft := 0, 0, 0, 0 // requests begun, sent whole, answered
+	draining, stalled, open := false, false, true
+	for _, step := range steps {
+		if !open {
+			break
+		}
+		switch step % 7 {
+		case 0: // the first half of a request; two may be under way
+			if begun == whole && whole-handled < 2 && !stalled {
+				write(fmt.Sprintf("GET /%d HTTP/1.1\r\n", begun))
+				begun++
+			}
+		case 1: // the rest of it
+			if begun > whole && !stalled {
+				write("\r\n")
+				whole++
+			}
+		case 2: // the handler finishes
+			if whole > handled {
+				finish <- struct{}{}
+				synctest.Wait()
+				handled++
+				open = !draining && !stalled
+			}
+		case 3: // the client leaves; what is being handled hears of it, what waits behind does not run
+			c.Close()
+			synctest.Wait()
+			if whole-handled == 1 && !stalled {
+				wantLeft = 1
+			}
+			open = false
+		case 4:
+			s.Drain()
+			draining = true
+		case 5: // half a request for longer than it may take
+			time.Sleep(requestTime + time.Second)
+			synctest.Wait()
+			stalled = stalled || begun > whole
+			open = !stalled || whole > handled
+		case 6: // a pause is nothing to an idle connection
+			if begun == handled {
+				time.Sleep(time.Hour)
+			}
+		}
+	}
+	close(finish)
+	synctest.Wait()
+	c.Close()
+	l.Close()
+	s.Shutdown()
+	<-ended
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+	if left != wantLeft {
+		t.Errorf("%v: %d handlers were told that the client left, want %d", steps, left, wantLeft)
+	}
+	r, pos := NewAnswerReader(small), strings.NewReader(answers.String())
+	for i := 0; i < handled; i++ {
+		m, err := r.Read(pos)
+		if err != nil || string(m.Body) != fmt.Sprintf("/%d", i) {
+			t.Fatalf("%v: answer %d is %+v, %v", steps, i, m, err)
+		}
+	}
+}
+
+// Requests that cannot be read get their status, and the connection ends.
+func TestFaultsAreAnswered(t *testing.T) {
+	for text, want := range map[string]string{
+		"GET\r\n\r\n":            "HTTP/1.1 400 ",
+		"GET / HTTP/2.0\r\n\r\n": "HTTP/1.1 505 ",
+		"POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n":             "HTTP/1.1 413 ",
+		"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 300) + "\r\n": "HTTP/1.1 431 ",
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			here, there := net.Pipe()
+			s := &Server{Limits: small, Handler: func(*Message, <-chan struct{}) *Message { panic("handled") }}
+			s.start(&conn{Conn: there, s: s})
+			go here.Write([]byte(text))
+			got, _ := io.ReadAll(here)
+			if !strings.HasPrefix(string(got), want) || !strings.Contains(string(got), "Connection: close\r\n") {
+				t.Errorf("%q: %q", text, got)
+			}
+			s.Shutdown()
+		})
+	}
+}
+
+// When the server is full, the longest idle connection makes room, and busy ones stay.
+func TestFullServerShedsIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var memory standin.Net
+		l := memory.Listen("s")
+		s := &Server{Limits: small, Conns: 2, Handler: func(_ *Message, gone <-chan struct{}) *Message {
+			<-gone
+			return &Message{Status: 200}
+		}}
+		go s.Serve(l)
+		var conns []net.Conn
+		for range 3 {
+			c, err := memory.Dial(context.Background(), "s")
+			if err != nil {
+				t.Fatal(err)
+			}
+			conns = append(conns, c)
+			time.Sleep(time.Second)
+			if len(conns) == 1 { // the first is busy, so the second goes
+				c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+				synctest.Wait()
+			}
+		}
+		conns[1].SetReadDeadline(time.Now().Add(time.Second))
+		if _, err := conns[1].Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("the idle connection: %v, want its end", err)
+		}
+		for _, c := range conns {
+			c.Close()
+		}
+		l.Close()
+		s.Shutdown()
+	})
+}
--- a/internal/opensearch/nodes.go
+++ b/internal/opensearch/nodes.go
@@ -25,7 +25,7 @@
 
 // Nodes calls map nodes that offer the API. It is a core.Caller.
 type Nodes struct {
-	Owner          *core.Owner
+	Owner          core.Reporter
 	Config         *Config
 	ConnectTimeout time.Duration
 	KeepAlive      time.Duration
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -21,7 +21,7 @@
 
 // Nodes speaks frames to data nodes. It is a core.Caller.
 type Nodes struct {
-	Owner          *core.Owner
+	Owner          core.Reporter
 	Streams        int // calls that one connection carries at once
 	ConnectTimeout time.Duration
 	KeepAlive      time.Duration // idle connections are closed by nodes after this
