--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,283 @@
+package core
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"harepass"
+)
+
+const ms = time.Millisecond
+
+// hand is a Caller that does nothing by itself: the test ends the attempts.
+type hand struct {
+	calls     [][]*Attempt
+	abandoned []*Attempt
+	idle      []string
+}
+
+func (h *hand) Call(_ Node, list []*Attempt) { h.calls = append(h.calls, list) }
+func (h *hand) Abandon(at *Attempt)          { h.abandoned = append(h.abandoned, at) }
+func (h *hand) Disconnect(node string)       { h.idle = append(h.idle, node) }
+
+func (h *hand) last() *Attempt { c := h.calls[len(h.calls)-1]; return c[len(c)-1] }
+
+// rig is an owner whose turns and clock the test moves.
+type rig struct {
+	*Owner
+	hand    *hand
+	clock   time.Duration
+	answers []string
+}
+
+func newRig(t *testing.T, change func(*Config)) *rig {
+	t.Helper()
+	r := &rig{hand: &hand{}, clock: time.Hour}
+	cfg := Config{Seed: 1, Clock: func() time.Duration { return r.clock }, Callers: map[string]Caller{"hand": r.hand},
+		Subscribe: func() {}, Settings: harepass.Settings{Roots: 1, Cells: 1, Reach: 1, CallBatch: 2, MaxAttempts: 3, Cancel: true,
+			Turn: 5 * ms, RetryAdvice: time.Second, Classes: []harepass.Class{
+				{Name: "free", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.5, Need: 1, Floor: 1},
+				{Name: "once", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.5, Need: 1, Floor: 1, Repeat: harepass.SingleShot},
+			}}}
+	if change != nil {
+		change(&cfg)
+	}
+	o, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Owner = o
+	o.Listed("test", harepass.ListFull, []Node{{Replica: harepass.Replica{ID: "a"}, Address: "a", Scheme: "hand"}})
+	r.pass(0)
+	return r
+}
+
+// pass lets time go by in turns as the loop would take them.
+func (r *rig) pass(d time.Duration) {
+	end := r.clock + d
+	r.turn()
+	for r.clock < end {
+		r.clock = min(end, r.clock+max(ms, r.untilNext()))
+		r.turn()
+	}
+}
+
+func (r *rig) query(class string, shards ...int) *Query {
+	q := &Query{ID: "q", Class: class, Until: r.clock + 3*time.Second}
+	for _, s := range shards {
+		q.Parts = append(q.Parts, Part{Shard: s, Weight: 1 / float64(len(shards))})
+	}
+	q.Done = func(a Answer) {
+		r.answers = append(r.answers, fmt.Sprintf("%d whole=%t %q", a.Verdict, a.Whole, a.Values))
+	}
+	return q
+}
+
+func (r *rig) want(t *testing.T, answers ...string) {
+	t.Helper()
+	if len(answers)+len(r.answers) > 0 && !reflect.DeepEqual(r.answers, answers) {
+		t.Errorf("answers %q, want %q", r.answers, answers)
+	}
+}
+
+func TestOneAnswerAndOneOutcomeEach(t *testing.T) {
+	r := newRig(t, nil)
+	r.Submit(r.query("free", 0, 1, 2))
+	r.pass(0)
+	if len(r.hand.calls) != 2 || len(r.hand.calls[0]) != 2 || len(r.hand.calls[1]) != 1 {
+		t.Fatalf("calls %v, want the three sends of one step in calls of two and one", r.hand.calls)
+	}
+	for _, call := range r.hand.calls {
+		for _, at := range call {
+			r.Ended(at, harepass.Served, fmt.Appendf(nil, "v%d", at.Shard))
+			r.Ended(at, harepass.Errored, nil) // a second word on it changes nothing
+		}
+	}
+	r.pass(5 * time.Second)
+	r.want(t, `0 whole=true ["v0" "v1" "v2"]`)
+	if r.held != 0 || len(r.parts) != 0 || len(r.byQuery) != 0 {
+		t.Errorf("%d held, %d parts and %d queries remain", r.held, len(r.parts), len(r.byQuery))
+	}
+}
+
+// The next attempt of a part goes out only when the word that the one before is given up is out, or has
+// had its time: a node must not see two at once.
+func TestNoSecondCopy(t *testing.T) {
+	for _, confirmed := range []bool{true, false} {
+		r := newRig(t, nil)
+		r.Submit(r.query("free", 0))
+		r.pass(0)
+		first := r.hand.last()
+		r.pass(first.Timeout)
+		if len(r.hand.abandoned) != 1 || len(r.hand.calls) != 1 {
+			t.Fatalf("%d given up and %d calls at the time-out, want 1 and 1", len(r.hand.abandoned), len(r.hand.calls))
+		}
+		if confirmed {
+			r.Ended(first, harepass.Cancelled, nil)
+			r.pass(0)
+		} else {
+			r.pass(abandonWait)
+		}
+		if !first.ended {
+			t.Error("the attempt has not ended")
+		}
+	}
+}
+
+// A value that crosses with the giving up still counts.
+func TestServedWhileGivenUp(t *testing.T) {
+	r := newRig(t, nil)
+	r.Submit(r.query("once", 0))
+	r.pass(0)
+	at := r.hand.last()
+	r.clock += at.Timeout
+	r.turn()
+	r.Ended(at, harepass.Served, []byte("v"))
+	r.pass(time.Second)
+	if len(r.answers) != 1 || len(r.hand.calls) != 1 {
+		t.Errorf("answers %q, %d calls", r.answers, len(r.hand.calls))
+	}
+}
+
+func TestHoldsNoMoreThanItMay(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Limits.Open = 5 })
+	r.Submit(r.query("free", 0, 1))
+	r.Submit(r.query("free", 0, 1))
+	r.pass(0)
+	r.want(t, "1 whole=false []")
+	for _, call := range r.hand.calls {
+		for _, at := range call {
+			r.Ended(at, harepass.Served, []byte("v"))
+		}
+	}
+	r.pass(0)
+	r.Submit(r.query("free", 0, 1))
+	r.pass(0)
+	r.want(t, "1 whole=false []", `0 whole=true ["v" "v"]`)
+	if r.held != 3 {
+		t.Errorf("%d held, want 3", r.held)
+	}
+}
+
+func TestFullQueueTakesNothing(t *testing.T) {
+	r := newRig(t, nil)
+	for i := range queueSize + 1 {
+		if took := r.Submit(r.query("free", 0)); took != (i < queueSize) {
+			t.Fatalf("submission %d taken: %t", i, took)
+		}
+	}
+}
+
+// What a client leaves behind is given up and answered to nobody.
+func TestClientLeaves(t *testing.T) {
+	r := newRig(t, nil)
+	q := r.query("free", 0)
+	r.Submit(q)
+	r.pass(0)
+	r.Gone(q)
+	r.pass(0)
+	if len(r.hand.abandoned) != 1 {
+		t.Errorf("%d attempts given up, want 1", len(r.hand.abandoned))
+	}
+	r.Ended(r.hand.last(), harepass.Cancelled, nil)
+	r.pass(5 * time.Second)
+	r.want(t)
+	if r.held != 0 || len(r.parts) != 0 {
+		t.Errorf("%d held, %d parts remain", r.held, len(r.parts))
+	}
+}
+
+// Whatever the module does, a query has its answer by the end of its client's time.
+func TestAnswerByTheDeadline(t *testing.T) {
+	r := newRig(t, nil)
+	q := r.query("free", 0)
+	r.Submit(q)
+	r.turn()
+	r.clock = q.Until + overdue
+	r.sweep()
+	r.now = r.clock
+	r.sweep()
+	r.want(t, "2 whole=false []")
+}
+
+// The phases go one way, and a draining owner stops when its last query has been answered.
+func TestPhases(t *testing.T) {
+	r := newRig(t, nil)
+	var seen []string
+	note := func() { seen = append(seen, r.Phase().String()) }
+	note()
+	r.Submit(r.query("free", 0))
+	r.Drain()
+	r.pass(0)
+	note()
+	r.Submit(r.query("free", 1)) // still taken
+	r.post(stopping{})
+	r.pass(0)
+	note()
+	for _, call := range r.hand.calls {
+		r.Ended(call[0], harepass.Served, []byte("v"))
+	}
+	r.pass(0)
+	note()
+	if want := []string{"ready", "draining", "draining", "stopped"}; !reflect.DeepEqual(seen, want) {
+		t.Errorf("phases %v, want %v", seen, want)
+	}
+	r.want(t, `0 whole=true ["v"]`, `0 whole=true ["v"]`)
+	if r.Submit(r.query("free", 0)) {
+		t.Error("a stopped owner takes a query")
+	}
+}
+
+func TestStartingUntilTheListIsKnown(t *testing.T) {
+	o, err := New(Config{Settings: newRig(t, nil).cfg.Settings, Clock: func() time.Duration { return time.Hour }, Subscribe: func() {}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct {
+		scope harepass.ListScope
+		want  Phase
+	}{{harepass.ListRemembered, Starting}, {harepass.ListRefused, Ready}} {
+		o.Listed("test", tc.scope, nil)
+		o.turn()
+		if o.Phase() != tc.want {
+			t.Errorf("after list of kind %d: %v, want %v", tc.scope, o.Phase(), tc.want)
+		}
+	}
+}
+
+// A full list of one source leaves the nodes of the others alone.
+func TestSourcesOfNodes(t *testing.T) {
+	r := newRig(t, nil)
+	node := func(id string) Node { return Node{Replica: harepass.Replica{ID: id}, Scheme: "hand"} }
+	r.Listed("other", harepass.ListFull, []Node{node("b"), node("c")})
+	r.Listed("other", harepass.ListFull, []Node{node("b")})
+	r.turn()
+	if len(r.nodes) != 2 || r.nodes["a"].source != "test" || r.nodes["b"].source != "other" {
+		t.Errorf("nodes %v, want a and b", r.nodes)
+	}
+}
+
+func TestDeadlinesRunInOrderOnce(t *testing.T) {
+	r := newRig(t, nil)
+	var ran []int
+	for _, at := range []int{3, 1, 2, 1} {
+		r.deadlines.add(r.clock+time.Duration(at)*ms, func() { ran = append(ran, at) })
+	}
+	gone := r.deadlines.add(r.clock+ms, func() { ran = append(ran, 9) })
+	r.deadlines.remove(gone)
+	r.pass(2 * ms)
+	r.pass(2 * ms)
+	if want := []int{1, 1, 2, 3}; !reflect.DeepEqual(ran, want) {
+		t.Errorf("ran %v, want %v", ran, want)
+	}
+}
+
+func TestSecondStepsAreNotServed(t *testing.T) {
+	s := newRig(t, nil).cfg.Settings
+	s.Classes[0].SecondStep = 2
+	if _, err := New(Config{Settings: s}); err == nil {
+		t.Error("a class with a second step is taken")
+	}
+}
--- /dev/null
+++ b/internal/platform/nodes_test.go
@@ -0,0 +1,299 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"harepass"
+	"harepass/internal/buffer"
+	"harepass/internal/core"
+)
+
+// gate is our end of a connection to a node; while it is shut, writes wait, and fail if it breaks then.
+type gate struct {
+	net.Conn
+	open   chan struct{}
+	broken chan struct{}
+	once   sync.Once
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	select {
+	case <-g.open:
+		return g.Conn.Write(p)
+	case <-g.broken:
+		return len(p) - 1, errors.New("broken") // all but the last byte went out
+	}
+}
+
+func (g *gate) Close() error {
+	g.once.Do(func() { close(g.broken) })
+	return g.Conn.Close()
+}
+
+// player is the model: a node that does as the steps say, and what each attempt has to come to.
+type player struct {
+	t      *testing.T
+	nodes  *Nodes
+	mu     sync.Mutex
+	ended  map[*core.Attempt][]harepass.Outcome
+	frames []string // what the node was sent, by the letter and the id
+	node   net.Conn // the node's end, nil if there is none
+	gate   *gate
+	refuse bool
+	conns  int
+}
+
+func (p *player) Ended(at *core.Attempt, o harepass.Outcome, _ []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended[at] = append(p.ended[at], o)
+}
+
+func (p *player) dial(context.Context, string) (net.Conn, error) {
+	if p.refuse {
+		return nil, errors.New("refused")
+	}
+	here, there := net.Pipe()
+	p.gate = &gate{Conn: here, open: make(chan struct{}), broken: make(chan struct{})}
+	close(p.gate.open)
+	p.node = there
+	p.conns++
+	go func() {
+		for {
+			var n uint32
+			if binary.Read(there, binary.LittleEndian, &n) != nil {
+				return
+			}
+			frame := make([]byte, n)
+			if _, err := io.ReadFull(there, frame); err != nil {
+				return
+			}
+			id, _, _ := strings.Cut(string(frame), " ")
+			p.mu.Lock()
+			p.frames = append(p.frames, id)
+			p.mu.Unlock()
+		}
+	}()
+	return p.gate, nil
+}
+
+// send writes from the node's side, in pieces.
+func (p *player) send(data []byte, size int) {
+	node := p.node
+	go func() {
+		for len(data) > 0 {
+			n, err := node.Write(data[:min(len(data), 1+size)])
+			if err != nil {
+				return
+			}
+			data = data[n:]
+		}
+	}()
+	synctest.Wait()
+}
+
+// want is the state of one attempt in the model.
+type want struct {
+	at      *core.Attempt
+	written bool
+	begun   bool
+	givenUp bool
+	outcome []harepass.Outcome // empty while it is out
+}
+
+// FuzzNodes plays calls, abandonings, answers, breaks, refused connections and a node that stops reading,
+// in random order, and holds that each attempt ends once, as the protocol's table says.
+func FuzzNodes(f *testing.F) {
+	f.Add([]byte{0, 0, 2, 0, 0, 1, 3, 0})
+	f.Add([]byte{0, 0, 7, 0, 0, 0, 1, 1, 4, 0})
+	f.Add([]byte{7, 0, 0, 0, 0, 0, 1, 0, 7, 0, 2, 1})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		synctest.Test(t, func(t *testing.T) { play(t, steps[:min(len(steps), 80)]) })
+	})
+}
+
+func play(t *testing.T, steps []byte) {
+	p := &player{t: t, ended: map[*core.Attempt][]harepass.Outcome{}}
+	p.nodes = &Nodes{Owner: p, Streams: 4, ConnectTimeout: time.Second, KeepAlive: 30 * time.Second, Dial: p.dial}
+	node := core.Node{Replica: harepass.Replica{ID: "n"}, Address: "n"}
+	var all []*want
+	shut, blocked, fresh := false, false, true // blocked: a write waits; fresh: the next call needs a connection
+	out := func() (list []*want) {
+		for _, w := range all {
+			if len(w.outcome) == 0 {
+				list = append(list, w)
+			}
+		}
+		return list
+	}
+	broken := func() { // all that is out ends
+		for _, w := range out() {
+			w.outcome = []harepass.Outcome{harepass.ConnectFailed}
+			if w.written {
+				w.outcome[0] = harepass.Reset
+			}
+		}
+		shut, blocked, fresh = false, false, true
+	}
+	for i := 0; i+1 < len(steps); i += 2 {
+		arg := int(steps[i+1])
+		live := out()
+		var w *want
+		if len(live) > 0 {
+			w = live[arg%len(live)]
+		}
+		switch steps[i] % 9 {
+		case 0: // a call of one part
+			if len(live) == 4 {
+				continue // a second connection is TestCallsPerConnection's
+			}
+			w = &want{at: &core.Attempt{Query: fmt.Sprintf("q%d", len(all)), Shard: arg, Text: []byte("t"),
+				Timeout: time.Second, Node: "n"}, written: !shut, begun: !blocked}
+			all = append(all, w)
+			if p.refuse && fresh {
+				w.outcome = []harepass.Outcome{harepass.ConnectFailed}
+			} else {
+				fresh, blocked = false, shut
+			}
+			p.nodes.Call(node, []*core.Attempt{w.at})
+		case 1: // given up
+			if w == nil {
+				continue
+			}
+			p.nodes.Abandon(w.at)
+			w.givenUp = true
+			if blocked = shut; !shut {
+				w.outcome = []harepass.Outcome{harepass.Cancelled}
+			}
+		case 2: // answered
+			if w == nil || !w.written {
+				continue
+			}
+			o := []harepass.Outcome{harepass.Served, harepass.Errored, harepass.Full}[arg%3]
+			w.outcome = []harepass.Outcome{o}
+			p.send(appendFrame(nil, frameAnswer, fmt.Appendf(nil, "%s %c 7 -\nvalue", partID(w.at), "SEB"[arg%3])), arg%9)
+		case 3: // something that is no frame of this protocol
+			if fresh {
+				continue
+			}
+			junk := [][]byte{{0, 0, 0, 0}, {255, 255, 255, 255}, appendFrame(nil, frameAnswer, []byte("x")),
+				appendFrame(nil, frameAnswer, []byte("x Q 0 -\n")), appendFrame(nil, frameFault, []byte("bad"))}[arg%5]
+			p.send(junk, arg%3)
+			broken()
+		case 4: // the connection ends, perhaps inside a frame
+			if fresh {
+				continue
+			}
+			p.send([]byte{9, 0, 0, 0, '5', 'x'}[:arg%7], 1)
+			p.node.Close()
+			broken()
+		case 5: // what nobody waits for
+			if !fresh {
+				p.send(append(appendFrame(nil, frameAnswer, []byte("nobody S 0 -\nv")), appendFrame(nil, '9', nil)...), arg%4)
+			}
+		case 6: // connections are refused from now on, or no longer
+			p.refuse = !p.refuse
+		case 7: // the node stops reading, or reads again
+			if fresh {
+				continue
+			}
+			if !shut {
+				p.gate.open = make(chan struct{})
+			} else {
+				close(p.gate.open)
+				for _, w := range out() {
+					switch {
+					case w.givenUp && w.begun:
+						w.outcome = []harepass.Outcome{harepass.Cancelled}
+					case w.givenUp:
+						w.outcome = []harepass.Outcome{harepass.Moot}
+					default:
+						w.written, w.begun = true, true
+					}
+				}
+			}
+			shut, blocked = !shut, false
+		case 8: // a pause in which idle connections are no longer trusted
+			if len(live) == 0 && !shut {
+				time.Sleep(25 * time.Second)
+				fresh = true
+			}
+		}
+		synctest.Wait()
+		for k, w := range all {
+			if got := p.ended[w.at]; fmt.Sprint(got) != fmt.Sprint(w.outcome) {
+				t.Fatalf("%v, step %d: attempt %d ended %v, want %v", steps, i/2, k, got, w.outcome)
+			}
+		}
+	}
+	p.nodes.Close()
+	synctest.Wait()
+	for k, w := range all {
+		if len(p.ended[w.at]) != 1 {
+			t.Errorf("attempt %d ended %v", k, p.ended[w.at])
+		}
+	}
+	if p.node != nil {
+		p.node.Close()
+	}
+}
+
+// A connection carries only so many calls at once, and the frames are as the protocol words them.
+func TestCallsPerConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &player{t: t, ended: map[*core.Attempt][]harepass.Outcome{}}
+		p.nodes = &Nodes{Owner: p, Streams: 2, ConnectTimeout: time.Second, KeepAlive: 30 * time.Second, Dial: p.dial}
+		for i := range 5 {
+			p.nodes.Call(core.Node{Replica: harepass.Replica{ID: "n"}, Address: "n"},
+				[]*core.Attempt{{Query: fmt.Sprint(i), Node: "n"}, {Query: fmt.Sprint(i), Shard: 1, Node: "n"}})
+			synctest.Wait()
+		}
+		if p.conns != 3 || len(p.frames) != 5 {
+			t.Errorf("%d connections and %d frames for 5 calls, want 3 and 5", p.conns, len(p.frames))
+		}
+		p.nodes.Close()
+	})
+	at := &core.Attempt{Query: "9b1f", Shard: 3, Timeout: 240 * time.Millisecond, Text: []byte("c41e77d0")}
+	got := callFrame([]*sending{{at: at}})
+	if want := append([]byte{26, 0, 0, 0, '1'}, "9b1f.3 3 d=240 8\nc41e77d0"...); !bytes.Equal(got, want) {
+		t.Errorf("frame %q, want %q", got, want)
+	}
+}
+
+// FuzzFrames holds that frames mean the same in any pieces.
+func FuzzFrames(f *testing.F) {
+	f.Add([]byte{2, 0, 0, 0, '5', 'x', 1, 0, 0, 0, 'X'}, uint8(1))
+	f.Add([]byte{0, 0, 0, 0}, uint8(2))
+	f.Fuzz(func(t *testing.T, data []byte, size uint8) {
+		read := func(size int) (out []string) {
+			var b buffer.Buffer
+			src := bytes.NewReader(data)
+			for {
+				letter, rest, ok, err := nextFrame(&b)
+				if err != nil {
+					return append(out, err.Error())
+				}
+				if ok {
+					id, outcome, value, err := parseAnswer(rest)
+					out = append(out, fmt.Sprint(letter, string(rest), id, outcome, value, err))
+				} else if _, err := b.Fill(io.LimitReader(src, int64(size))); err != nil {
+					return out
+				}
+			}
+		}
+		if whole, split := read(1<<20), read(1+int(size)); fmt.Sprint(whole) != fmt.Sprint(split) {
+			t.Errorf("whole %q\nsplit %q", whole, split)
+		}
+	})
+}
