--- a/internal/opensearch/envelope.go
+++ b/internal/opensearch/envelope.go
@@ -114,6 +114,11 @@
 // shards, only if the core says that it is.
 func searchReply(s *search, q *core.Query, a core.Answer, took time.Duration) *http1.Message {
 	ans := searchAnswer{Took: took.Milliseconds(), TimedOut: !a.Whole, Shards: shards{Total: len(q.Parts)}}
+	for _, v := range a.Values {
+		if m := faultOf(v); m != nil {
+			return m
+		}
+	}
 	var merged []ranked
 	ans.Hits.Total = &total{Relation: "eq"}
 	for i, p := range q.Parts {
@@ -140,6 +145,18 @@
 	return reply(200, ans)
 }
 
+// faultOf is what a node that offers the API found wrong with the request, if that is what it said.
+func faultOf(value []byte) *http1.Message {
+	var node struct {
+		Error  json.RawMessage `json:"error"`
+		Status int             `json:"status"`
+	}
+	if bytes.HasPrefix(value, []byte(`{"error"`)) && json.Unmarshal(value, &node) == nil && (node.Status == 400 || node.Status == 409) {
+		return reply(node.Status, json.RawMessage(value))
+	}
+	return nil
+}
+
 // ranked is a hit with its score, if it has one.
 type ranked struct {
 	raw   json.RawMessage
@@ -190,8 +207,7 @@
 	return list
 }
 
-// indexAnswer tells that a document is stored. A node that offers the API says so itself, be it that the
-// document was there already.
+// indexAnswer tells that a document is stored. A node that offers the API says so itself.
 type indexAnswer struct {
 	Index       string `json:"_index"`
 	ID          string `json:"_id"`
@@ -203,19 +219,14 @@
 }
 
 func indexReply(r *report, value []byte) *http1.Message {
+	if m := faultOf(value); m != nil {
+		return m
+	}
 	var node struct {
 		Result string `json:"result"`
-		Status int    `json:"status"`
 	}
-	if bytes.HasPrefix(value, []byte("{")) && json.Unmarshal(value, &node) == nil {
-		switch {
-		case node.Status == 409:
-			return reply(409, json.RawMessage(value))
-		case node.Result == "created":
-			return reply(201, json.RawMessage(value))
-		case node.Result != "":
-			return reply(200, json.RawMessage(value))
-		}
+	if bytes.HasPrefix(value, []byte("{")) && json.Unmarshal(value, &node) == nil && node.Result != "" {
+		return reply(map[bool]int{true: 201, false: 200}[node.Result == "created"], json.RawMessage(value))
 	}
 	return reply(201, indexAnswer{Index: r.index.name, ID: r.id, Version: 1, Result: "created",
 		Shards: shards{Total: 1, Successful: 1}, PrimaryTerm: 1})
--- a/internal/opensearch/nodes.go
+++ b/internal/opensearch/nodes.go
@@ -138,7 +138,7 @@
 	n.mu.Lock()
 	nd.idle = append(nd.idle, idleConn{c, time.Now()})
 	n.mu.Unlock()
-	return outcome(m)
+	return outcome(m, at.Origin != nil)
 }
 
 // connect takes an idle connection that still stands, or opens one.
@@ -209,8 +209,9 @@
 var rejections = map[string]bool{"rejected_execution_exception": true, "es_rejected_execution_exception": true,
 	"opensearch_rejected_execution_exception": true}
 
-// outcome reads a node's answer. A search answer that the node itself does not call whole is none.
-func outcome(m *http1.Message) (harepass.Outcome, []byte) {
+// outcome reads a node's answer. A search answer that the node itself does not call whole is none. What a
+// node finds wrong with a client's own request is its final word: other nodes would find the same.
+func outcome(m *http1.Message, own bool) (harepass.Outcome, []byte) {
 	var body struct {
 		Error struct {
 			Type string `json:"type"`
@@ -226,7 +227,9 @@
 	case m.Status == 429 && rejections[body.Error.Type]:
 		return harepass.Full, nil
 	case m.Status == 409 && body.Error.Type == "version_conflict_engine_exception":
-		return harepass.Served, m.Body // the document is there: a final word on it
+		return harepass.Served, m.Body // the document is there
+	case own && m.Status == 400 && body.Error.Type != "":
+		return harepass.Served, m.Body
 	case (m.Status == 200 || m.Status == 201) && body.Result != "":
 		return harepass.Served, m.Body
 	case m.Status == 200 && len(body.Hits) > 0 && !body.TimedOut && body.Shards != nil && body.Shards.Failed == 0:
--- a/internal/opensearch/parity_test.go
+++ b/internal/opensearch/parity_test.go
@@ -53,6 +53,7 @@
 	net    standin.Net
 	fleet  *standin.Fleet
 	owner  *core.Owner
+	config *opensearch.Config
 	client *http.Client
 	ends   []func()
 }
@@ -68,6 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	w.config = c
 	w.owner, frames.Owner, calls.Owner = owner, owner, owner
 	go owner.Run()
 	var nodes []core.Node
@@ -112,6 +114,11 @@
 	return w
 }
 
+// weigh gives a section of an index another weight than 1.
+func (w *world) weigh(index string, section int, weight float64) {
+	w.config.Indices[index].Weights = map[int]float64{section: weight}
+}
+
 func (w *world) close() {
 	for _, end := range slices.Backward(w.ends) {
 		end()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -137,8 +137,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /{index}/_search", func(w http.ResponseWriter, r *http.Request) {
 		shard, err := strconv.Atoi(strings.TrimPrefix(r.URL.Query().Get("preference"), "_shards:"))
-		if err != nil {
-			http.Error(w, `{"error":{"type":"illegal_argument_exception"},"status":400}`, 400)
+		if body, _ := io.ReadAll(r.Body); err != nil || strings.Contains(string(body), "geo_shape") { // it has no such field
+			w.WriteHeader(400)
+			io.WriteString(w, `{"error":{"type":"query_shard_exception","reason":"failed to find geo field"},"status":400}`)
 			return
 		}
 		f.api(w, r, shard, 200, fmt.Sprintf(`{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},`+
@@ -147,13 +148,15 @@
 	})
 	mux.HandleFunc("PUT /{index}/{op}/{id}", func(w http.ResponseWriter, r *http.Request) {
 		var doc struct {
-			Section int `json:"section"`
+			Pin string `json:"pin"`
 		}
-		if json.NewDecoder(r.Body).Decode(&doc) != nil {
-			http.Error(w, `{"error":{"type":"mapper_parsing_exception"},"status":400}`, 400)
+		shard, err := strconv.Atoi(r.URL.Query().Get("routing"))
+		if err != nil || json.NewDecoder(r.Body).Decode(&doc) != nil {
+			w.WriteHeader(400)
+			io.WriteString(w, `{"error":{"type":"mapper_parsing_exception","reason":"failed to parse field [pin]"},"status":400}`)
 			return
 		}
-		f.api(w, r, doc.Section, 201, fmt.Sprintf(`{"_index":%q,"_id":%q,"_version":1,"result":"created",`+
+		f.api(w, r, shard, 201, fmt.Sprintf(`{"_index":%q,"_id":%q,"_version":1,"result":"created",`+
 			`"_shards":{"total":1,"successful":1,"failed":0},"_seq_no":3,"_primary_term":1}`, r.PathValue("index"), r.PathValue("id")))
 	})
 	http.Serve(l, mux)
