Run the whole program on loopback with both fronts; keep subscribing beside an inventory

Seen in the new end-to-end test: with discovery and an inventory both on, discovery was never asked. The module takes a full list for the answer to its Subscribe (aggregator.go, onList: subscribed = true), and listed.apply in the core passed the inventory's list on as one. Lists of a source that was not asked now come in as remembered, and only the asked source makes the program ready. Ruled out: the discovery client (it was not called at all) and the stand-in. TestInventoryIsNoSubscription holds it without sockets. The platform path is unchanged: it has one source.

--- /dev/null
+++ b/cmd/harepass/main_test.go
@@ -0,0 +1,267 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"harepass/internal/standin"
+)
+
+// TestMain lets the test binary be the program, for tests on real sockets and signals.
+func TestMain(m *testing.M) {
+	if os.Getenv("HAREPASS_TEST_RUN") == "1" {
+		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+func TestUsage(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	example := "../../deploy/opensearch.example.yaml"
+	for _, tc := range []struct {
+		args   []string
+		config string // PROXY_CONFIG
+		status int
+		want   string
+	}{
+		{nil, "", 2, "usage: "},
+		{[]string{"dance"}, "", 2, "usage: "},
+		{[]string{"help"}, "", 0, "usage: "},
+		{[]string{"version"}, "", 0, "harepass " + version},
+		{[]string{"version", "now"}, "", 2, `version takes no arguments, got "now"`},
+		{[]string{"serve", "-port", "1"}, "", 2, "flag provided but not defined: -port"},
+		{[]string{"serve"}, "", 2, "nothing to serve"},
+		{[]string{"serve", "-opensearch", "nowhere.yaml"}, "", 2, "nowhere.yaml: no such file"},
+		{[]string{"serve"}, filepath.Join(dir, "none.json"), 2, "no such file"},
+		{[]string{"serve"}, file("bad.json", "{"), 2, "bad.json: unexpected end"},
+		{[]string{"serve"}, file("bare.json", `{"listen":"x"}`), 2, "no discovery address"},
+		{[]string{"serve"}, file("seed.json", `{"listen":"x","discovery":"y","seed":"zz"}`), 2, `seed "zz"`},
+		{[]string{"serve"}, file("sets.json", `{"listen":"x","discovery":"y","seed":"1f","settings":{}}`), 2, "family_info.positions is missing"},
+		{[]string{"check", "-opensearch", example}, "", 0, "ok\n"},
+		{[]string{"check", "-opensearch", file("inv.yaml", "listen: x\nsettings: "+abs(t, "../../deploy/settings.example.json")+
+			"\ninventory: bad.csv\nindices: {a: {class: route-lookup}}\n")}, "", 2, "bad.csv:2: host n"},
+	} {
+		file("bad.csv", "name,port,cell\nn,1,77\n")
+		t.Setenv("PROXY_CONFIG", tc.config)
+		var out, errs bytes.Buffer
+		status := run(tc.args, &out, &errs)
+		text := out.String() + errs.String()
+		if status != tc.status || !strings.Contains(text, tc.want) || status == 2 && strings.Count(errs.String(), "\n") != 1 {
+			t.Errorf("%q: status %d, %q; want %d and %q", tc.args, status, text, tc.status, tc.want)
+		}
+	}
+}
+
+func abs(t *testing.T, path string) string {
+	path, err := filepath.Abs(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// reserve finds an address that the program can listen on.
+func reserve(t *testing.T) string {
+	l := listen(t)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// syncBuffer is the program's log, read while it is written.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// eventually waits for something that is only a matter of time.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 3000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// The whole program on real loopback sockets, both fronts at once: frame nodes from discovery and API nodes
+// from an inventory, a reload, a bad reload, and a SIGTERM that finds a query under way.
+func TestServe(t *testing.T) {
+	frames, api := &standin.Fleet{Script: slowAt(5)}, &standin.Fleet{Script: slowAt(5)}
+	frameNode, apiNode, discovery := listen(t), listen(t), listen(t)
+	go frames.Frames(frameNode)
+	go api.API(apiNode)
+	list := fmt.Sprintf(`{"index":1,"snapshot":true,"endpoints":[{"name":"f0","address":%q,"zone":"z","type":"m","group":0,"status":"in_service","weight":1,"since_ms":0}]}`, frameNode.Addr())
+	go standin.Discovery(discovery, func() string { return list })
+
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	settings, err := os.ReadFile("../../deploy/settings.example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	native, search := reserve(t), reserve(t)
+	_, port, _ := net.SplitHostPort(apiNode.Addr().String())
+	write("nodes.csv", "name,address,port,cell,api\na0,127.0.0.1,"+port+",0,opensearch\n")
+	conf, _ := json.Marshal(map[string]any{"name": "n1", "listen": native, "discovery": discovery.Addr().String(), "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"index": 0, "snapshot": true, "endpoints": []any{}},
+		"settings": json.RawMessage(bytes.Replace(settings, []byte(`"push"`), []byte(`"ask"`), 1))})
+	cmd := exec.Command(os.Args[0], "serve", "-opensearch",
+		write("front.yaml", "listen: "+search+"\ninventory: nodes.csv\nindices:\n  trails: {class: route-lookup}\n  hazards: {class: hazard-report, reports: true}\n"))
+	cmd.Env = append(os.Environ(), "HAREPASS_TEST_RUN=1", "PROXY_CONFIG="+write("config.json", string(conf)), "PROXY_LISTEN="+native)
+	log := &syncBuffer{}
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+
+	get := func(url string) int {
+		res, err := http.Get(url)
+		if err != nil {
+			return 0
+		}
+		defer res.Body.Close()
+		io.Copy(io.Discard, res.Body)
+		return res.StatusCode
+	}
+	eventually(t, "ready", func() bool { return get("http://"+native+"/health/ready") == 200 })
+	eventually(t, "discovery's list", func() bool { return ask(t, native, 0, 1) == 200 && len(frames.Seen()) > 0 })
+	if status, body := post(t, "http://"+search+"/trails/_search", `{"query":{"range":{"section":{"lt":5}}}}`); status != 200 || !strings.Contains(body, `"timed_out":false`) {
+		t.Errorf("search: %d %s", status, body)
+	}
+	if status, body := post(t, "http://"+search+"/hazards/_doc", `{"section":2}`); status != 201 {
+		t.Errorf("report: %d %s", status, body)
+	}
+
+	// A bad file keeps the list; a good one without the API node drains it.
+	write("nodes.csv", "name,address,port,cell\na0,127.0.0.1,none,0\n")
+	cmd.Process.Signal(syscall.SIGHUP)
+	eventually(t, "a refused reload", func() bool { return strings.Contains(log.String(), "nodes.csv:2: host a0: port") })
+	_, framePort, _ := net.SplitHostPort(frameNode.Addr().String())
+	write("nodes.csv", "name,address,port,cell,api\nf1,127.0.0.1,"+framePort+",0,frame\n")
+	cmd.Process.Signal(syscall.SIGHUP)
+	eventually(t, "a reload", func() bool { return strings.Contains(log.String(), "inventory reloaded") })
+	for range 3 { // queries that go out after the reload is known to be taken
+		ask(t, native, 0)
+	}
+	before := len(api.Seen())
+	for range 5 {
+		if status := ask(t, native, 0, 1, 2); status != 200 {
+			t.Errorf("after the reload: %d", status)
+		}
+	}
+	if n := len(api.Seen()) - before; n > 0 {
+		t.Errorf("a drained node was sent %d parts", n)
+	}
+
+	// What is under way at SIGTERM is answered, what comes right after it too, and readiness fails.
+	slow := make(chan int)
+	count := len(frames.Seen())
+	go func() { slow <- ask(t, native, 5) }()
+	eventually(t, "a query under way", func() bool { return len(frames.Seen()) > count })
+	cmd.Process.Signal(syscall.SIGTERM)
+	eventually(t, "draining", func() bool { return get("http://"+native+"/health/ready") == 503 })
+	if status := ask(t, native, 0); status != 200 {
+		t.Errorf("just after SIGTERM: %d", status)
+	}
+	if status := <-slow; status != 200 {
+		t.Errorf("under way at SIGTERM: %d", status)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v\n%s", err, log)
+	}
+	if get("http://"+native+"/health/live") != 0 {
+		t.Error("still listening")
+	}
+}
+
+// slowAt serves at once but for one shard.
+func slowAt(slow int) func(shard, try int) standin.Reply {
+	return func(shard, _ int) standin.Reply {
+		if shard == slow {
+			return standin.Reply{After: 400 * time.Millisecond}
+		}
+		return standin.Reply{}
+	}
+}
+
+func ask(t *testing.T, address string, shards ...int) int {
+	var parts []string
+	for _, s := range shards {
+		parts = append(parts, fmt.Sprintf(`{"slice":%d,"mass":%g}`, s, 1/float64(len(shards))))
+	}
+	req, err := http.NewRequest("POST", "http://"+address+"/api", strings.NewReader(`{"slices":[`+strings.Join(parts, ",")+`],"filter":"f"}`))
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	req.Header = http.Header{"X-Call-Id": {fmt.Sprint(time.Now().UnixNano())}, "X-Call-Class": {"route-lookup"},
+		"X-Caller": {"kitakaze"}, "X-Budget": {"2900m"}}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	defer res.Body.Close()
+	io.Copy(io.Discard, res.Body)
+	return res.StatusCode
+}
+
+func post(t *testing.T, url, body string) (int, string) {
+	res, err := http.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	data, _ := io.ReadAll(res.Body)
+	return res.StatusCode, string(data)
+}
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -107,7 +107,7 @@
 func (p *program) start(ctx context.Context) error {
 	frames := &platform.Nodes{Streams: p.caps.Streams, ConnectTimeout: p.caps.ConnectTimeout, KeepAlive: p.caps.KeepAlive}
 	cfg := core.Config{Seed: p.seed, Settings: p.settings, Limits: core.Limits{Open: p.caps.Open}, Clock: p.clock,
-		Callers: map[string]core.Caller{platform.Scheme: frames}, Subscribe: func() {}}
+		Callers: map[string]core.Caller{platform.Scheme: frames}, Subscribe: func() {}, Asked: inventory.Source}
 	p.closers = append(p.closers, frames.Close)
 	var api *opensearch.Nodes
 	if p.search != nil {
@@ -118,7 +118,7 @@
 	var disc *platform.Discovery
 	if p.config != nil {
 		disc = platform.NewDiscovery(p.config.Discovery)
-		cfg.Subscribe = disc.Subscribe
+		cfg.Subscribe, cfg.Asked = disc.Subscribe, platform.Source
 	}
 	owner, err := core.New(cfg)
 	if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,9 +6,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -116,7 +116,8 @@
 	Limits    Limits
 	Clock     Clock
 	Callers   map[string]Caller // by Node.Scheme
-	Subscribe func()            // asks the source of the list; must not block
+	Subscribe func()            // asks a source for its list; must not block
+	Asked     string            // that source; others tell of themselves
 }
 
 const (
@@ -314,24 +315,28 @@
 
 func (m ended) apply(o *Owner) { o.end(m.at, m.outcome, m.value, m.when) }
 
+// apply merges the sources. The module takes a list, its changes or a refusal for an answer to its own
+// Subscribe, so a source that it did not ask comes in as remembered: with that it would never subscribe.
 func (m listed) apply(o *Owner) {
 	ev := harepass.ListReceived{Scope: m.scope}
+	if m.source != o.cfg.Asked {
+		ev.Scope = harepass.ListRemembered
+	}
 	if m.scope == harepass.ListFull || m.scope == harepass.ListRemembered {
-		for id, n := range o.nodes {
-			if n.source == m.source {
-				delete(o.nodes, id)
-			} else {
-				ev.Replicas = append(ev.Replicas, n.Replica)
-			}
-		}
-		slices.SortFunc(ev.Replicas, func(x, y harepass.Replica) int { return strings.Compare(x.ID, y.ID) })
+		maps.DeleteFunc(o.nodes, func(_ string, n listedNode) bool { return n.source == m.source })
 	}
 	for _, n := range m.nodes {
 		o.nodes[n.ID] = listedNode{n, m.source}
 		ev.Replicas = append(ev.Replicas, n.Replica)
 	}
+	if ev.Scope == harepass.ListFull || ev.Scope == harepass.ListRemembered {
+		ev.Replicas = nil
+		for _, id := range slices.Sorted(maps.Keys(o.nodes)) {
+			ev.Replicas = append(ev.Replicas, o.nodes[id].Replica)
+		}
+	}
 	o.events = append(o.events, ev)
-	o.list = o.list || m.scope != harepass.ListRemembered
+	o.list = o.list || m.scope != harepass.ListRemembered && m.source == o.cfg.Asked
 }
 
 // overdue gives up a query that the module has left without an answer: the client's time is over.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -35,7 +35,7 @@
 func newRig(t *testing.T, change func(*Config)) *rig {
 	t.Helper()
 	r := &rig{hand: &hand{}, clock: time.Hour}
-	cfg := Config{Seed: 1, Clock: func() time.Duration { return r.clock }, Callers: map[string]Caller{"hand": r.hand},
+	cfg := Config{Seed: 1, Asked: "test", Clock: func() time.Duration { return r.clock }, Callers: map[string]Caller{"hand": r.hand},
 		Subscribe: func() {}, Settings: harepass.Settings{Roots: 1, Cells: 1, Reach: 1, CallBatch: 2, MaxAttempts: 3, Cancel: true,
 			Turn: 5 * ms, RetryAdvice: time.Second, Classes: []harepass.Class{
 				{Name: "free", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.5, Need: 1, Floor: 1},
@@ -231,7 +231,8 @@
 }
 
 func TestStartingUntilTheListIsKnown(t *testing.T) {
-	o, err := New(Config{Settings: newRig(t, nil).cfg.Settings, Clock: func() time.Duration { return time.Hour }, Subscribe: func() {}})
+	o, err := New(Config{Settings: newRig(t, nil).cfg.Settings, Clock: func() time.Duration { return time.Hour },
+		Subscribe: func() {}, Asked: "test"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -247,6 +248,19 @@
 	}
 }
 
+// A list from a source that was not asked is no answer to a subscription: the module still wants one.
+func TestInventoryIsNoSubscription(t *testing.T) {
+	subscribed := 0
+	r := newRig(t, func(c *Config) {
+		c.Settings.Subscribe, c.Settings.ListMaxAge = true, time.Second
+		c.Asked, c.Subscribe = "discovery", func() { subscribed++ }
+	}) // which brings a list of the source "test"
+	r.pass(10 * time.Second)
+	if subscribed < 2 {
+		t.Errorf("%d subscriptions, want one after the other", subscribed)
+	}
+}
+
 // A full list of one source leaves the nodes of the others alone.
 func TestSourcesOfNodes(t *testing.T) {
 	r := newRig(t, nil)
--- /dev/null
+++ b/internal/platform/front_test.go
@@ -0,0 +1,75 @@
+package platform
+
+import (
+	"net/textproto"
+	"strings"
+	"testing"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/http1"
+)
+
+func request(method, target, body string, header ...string) *http1.Message {
+	m := &http1.Message{Method: method, Target: target, Body: []byte(body), Header: textproto.MIMEHeader{}}
+	for i := 0; i < len(header); i += 2 {
+		m.Header.Set(header[i], header[i+1])
+	}
+	return m
+}
+
+func TestRequestsThatAreNone(t *testing.T) {
+	settings := harepass.Settings{Roots: 1, Cells: 1, Reach: 1, CallBatch: 1, MaxAttempts: 1,
+		Classes: []harepass.Class{{Name: "c", Aim: time.Second, Deadline: time.Second, Need: 1, Floor: 1}}}
+	owner, err := core.New(core.Config{Settings: settings, Clock: core.SystemClock(), Subscribe: func() {}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &Front{Owner: owner, Clock: core.SystemClock()}
+	good := `{"slices":[{"slice":1,"mass":1}],"filter":"f"}`
+	for _, tc := range []struct {
+		req    *http1.Message
+		status int
+		want   string
+	}{
+		{request("GET", "/nowhere", ""), 404, "no such path"},
+		{request("GET", "/api", ""), 405, "method"},
+		{request("POST", "/health/ready", ""), 405, "method"},
+		{request("GET", "/health/live", ""), 200, "ok"},
+		{request("GET", "/health/ready", ""), 503, "starting"},
+		{request("POST", "/api", good, "X-Budget", "1m"), 400, "X-Call-Id"},
+		{request("POST", "/api", good, "X-Call-Id", "a b", "X-Budget", "1m"), 400, "X-Call-Id"},
+		{request("POST", "/api", good, "X-Call-Id", "a"), 400, "X-Budget"},
+		{request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "5s"), 400, "X-Budget"},
+		{request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "-5m"), 400, "X-Budget"},
+		{request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "NaNm"), 400, "X-Budget"},
+		{request("POST", "/api", `{"slices":[`, "X-Call-Id", "a", "X-Budget", "1m"), 400, "bad body"},
+		{request("POST", "/api", `{}`, "X-Call-Id", "a", "X-Budget", "1m"), 400, "no slices"},
+		{request("POST", "/api", `{"slices":[{"slice":-1}]}`, "X-Call-Id", "a", "X-Budget", "1m"), 400, "bad slice"},
+		{request("POST", "/api", `{"slices":[{"slice":1},{"slice":1}]}`, "X-Call-Id", "a", "X-Budget", "1m"), 400, "bad slice"},
+	} {
+		m := f.Handle(tc.req, nil)
+		if m.Status != tc.status || !strings.Contains(string(m.Body), tc.want) {
+			t.Errorf("%s %s %s %v: %d %s, want %d %s", tc.req.Method, tc.req.Target, tc.req.Body, tc.req.Header, m.Status, m.Body, tc.status, tc.want)
+		}
+	}
+	q, err := f.parse(request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "250000u", "X-Again", "1", "X-Caller", "acme", "X-Call-Class", "c"))
+	if left := q.Until - f.Clock(); err != nil || left <= 0 || left > 250*time.Millisecond || !q.Retry || q.Tenant != "acme" ||
+		q.Class != "c" || string(q.Text) != "f" {
+		t.Errorf("%+v, %v", q, err)
+	}
+}
+
+func TestListEntries(t *testing.T) {
+	l := List{Endpoints: []Endpoint{{Name: "a", Address: "h:1", Group: 2, Status: "terminating", SinceMS: 5}}}
+	nodes, err := l.Nodes()
+	if err != nil || len(nodes) != 1 || nodes[0].State != harepass.Draining || nodes[0].Since != 5*time.Millisecond ||
+		nodes[0].Cell != 2 || nodes[0].Address != "h:1" {
+		t.Errorf("%+v, %v", nodes, err)
+	}
+	l.Endpoints[0].Status = "asleep"
+	if _, err := l.Nodes(); err == nil {
+		t.Error("an unknown status is taken")
+	}
+}
