--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+.PHONY: build test lint fuzz run check
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test -race ./...
+
+lint:
+	go vet ./...
+	test -z "$$(gofmt -l .)"
+
+# Each fuzz test for a short while; a find is kept under testdata and runs with the tests from then on.
+fuzz:
+	go test ./internal/http1 -run '^$$' -fuzz '^FuzzReader$$' -fuzztime 20s
+	go test ./internal/http1 -run '^$$' -fuzz '^FuzzBytes$$' -fuzztime 20s
+	go test ./internal/http1 -run '^$$' -fuzz '^FuzzServer$$' -fuzztime 20s
+	go test ./internal/platform -run '^$$' -fuzz '^FuzzNodes$$' -fuzztime 20s
+	go test ./internal/platform -run '^$$' -fuzz '^FuzzFrames$$' -fuzztime 20s
+
+# Both take their configuration from PROXY_CONFIG, from the file that SEARCH names, or from both.
+SEARCH ?= deploy/opensearch.example.yaml
+
+run: build
+	bin/harepass serve -opensearch $(SEARCH)
+
+check: build
+	bin/harepass check -opensearch $(SEARCH)
