--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -139,7 +139,7 @@
 	}
 	if p.config != nil {
 		owner.Listed(platform.Source, harepass.ListRemembered, p.known)
-		disc.Owner = owner
+		disc.Listed = func(scope harepass.ListScope, nodes []core.Node) { owner.Listed(platform.Source, scope, nodes) }
 		go disc.Run(ctx)
 		front := &platform.Front{Owner: owner, Clock: p.clock}
 		if err := p.listen(p.config.Listen, &http1.Server{Handler: front.Handle, Limits: http1.DefaultLimits}); err != nil {
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -59,11 +59,13 @@
 // Discovery keeps the owner's list as long as it is asked to.
 type Discovery struct {
 	Address string
-	Owner   *core.Owner
-	asked   chan struct{}
+	Dial    http1.Dialer // nil for plain TCP
+	Listed  func(harepass.ListScope, []core.Node)
+
+	asked chan struct{}
 }
 
-// NewDiscovery returns a Discovery for the service at an address; Owner has to be set before Run.
+// NewDiscovery returns a Discovery for the service at an address; Listed has to be set before Run.
 func NewDiscovery(address string) *Discovery {
 	return &Discovery{Address: address, asked: make(chan struct{}, 1)}
 }
@@ -79,7 +81,7 @@
 // Run serves subscriptions until ctx ends. Each begins with the whole list, goes on with watches,
 // and ends with the first failed call, which the owner is told.
 func (d *Discovery) Run(ctx context.Context) {
-	c := &http1.Client{Address: d.Address, Limits: http1.Limits{Head: 16 << 10, Body: listBody}}
+	c := &http1.Client{Address: d.Address, Dial: d.Dial, Limits: http1.Limits{Head: 16 << 10, Body: listBody}}
 	defer c.Close()
 	for {
 		select {
@@ -97,7 +99,7 @@
 		case <-d.asked:
 		default:
 		}
-		d.Owner.Listed(Source, harepass.ListRefused, nil)
+		d.Listed(harepass.ListRefused, nil)
 	}
 }
 
@@ -116,7 +118,7 @@
 		if list.Snapshot {
 			scope = harepass.ListFull
 		}
-		d.Owner.Listed(Source, scope, nodes)
+		d.Listed(scope, nodes)
 		target = fmt.Sprintf("/registry/instances?from=%d&hold_ms=%d", list.Index, hold.Milliseconds())
 		limit = hold + listLimit
 	}
--- /dev/null
+++ b/internal/platform/discovery_test.go
@@ -0,0 +1,125 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/standin"
+)
+
+// A subscription begins with the whole list and goes on with watches, each begun as soon as the one before
+// has been answered; its end is told once, and the next one begins only when asked for.
+func TestSubscription(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var memory standin.Net
+		l := memory.Listen("d")
+		var down, silent atomic.Bool
+		var calls []string
+		var asked []time.Time
+		var told []string
+		began := time.Now()
+		served := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls, asked = append(calls, r.URL.RequestURI()), append(asked, time.Now())
+			if down.Load() {
+				w.WriteHeader(503)
+				return
+			}
+			if silent.Load() {
+				<-r.Context().Done()
+				return
+			}
+			if r.URL.Query().Has("from") {
+				time.Sleep(3 * time.Second)
+			}
+			fmt.Fprintf(w, `{"index":%d,"snapshot":%t,"endpoints":[{"name":"a","address":"a:1","group":1,"status":"in_service"}]}`,
+				40+len(calls), !r.URL.Query().Has("from"))
+		})}
+		go served.Serve(l)
+		d := NewDiscovery("d")
+		d.Dial = memory.Dial
+		d.Listed = func(scope harepass.ListScope, nodes []core.Node) {
+			told = append(told, fmt.Sprintf("%d:%d", scope, len(nodes)))
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { d.Run(ctx); close(done) }()
+		pass := func(d time.Duration) {
+			time.Sleep(d)
+			synctest.Wait()
+		}
+		pass(time.Second)
+		if len(calls) > 0 {
+			t.Error("it asks without being asked to")
+		}
+		d.Subscribe()
+		pass(4 * time.Second)
+		d.Subscribe() // one stands: nothing more happens
+		pass(time.Second)
+		down.Store(true)
+		pass(10 * time.Second)
+		want := []string{"/registry/instances", "/registry/instances?from=41&hold_ms=10000",
+			"/registry/instances?from=42&hold_ms=10000", "/registry/instances?from=43&hold_ms=10000"}
+		if fmt.Sprint(calls) != fmt.Sprint(want) {
+			t.Errorf("calls %v, want %v", calls, want)
+		}
+		if fmt.Sprint(told) != "[1:1 0:1 0:1 3:0]" {
+			t.Errorf("told %v", told)
+		}
+		if late := asked[2].Sub(began) - 4*time.Second; late != 0 {
+			t.Errorf("the watch was renewed after %v", late)
+		}
+		down.Store(false)
+		silent.Store(true)
+		d.Subscribe()
+		pass(listLimit + time.Millisecond)
+		if len(told) != 5 {
+			t.Errorf("a silent discovery: told %v", told)
+		}
+		cancel()
+		<-done
+		served.Close()
+	})
+}
+
+// The list's body may be larger than a client's request.
+func TestLongList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var memory standin.Net
+		l := memory.Listen("d")
+		served := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Query().Has("from") {
+				<-r.Context().Done()
+				return
+			}
+			io.WriteString(w, `{"snapshot":true,"endpoints":[`)
+			for i := range 2000 {
+				fmt.Fprintf(w, `{"name":"n%d","address":"a:1","status":"in_service"},`, i)
+			}
+			io.WriteString(w, `{"name":"last","address":"a:1","status":"in_service"}]}`)
+		})}
+		go served.Serve(l)
+		d := NewDiscovery("d")
+		got := 0
+		d.Dial = func(ctx context.Context, a string) (net.Conn, error) { return memory.Dial(ctx, a) }
+		d.Listed = func(_ harepass.ListScope, nodes []core.Node) { got = len(nodes) }
+		ctx, cancel := context.WithCancel(context.Background())
+		go d.Run(ctx)
+		d.Subscribe()
+		synctest.Wait()
+		if got != 2001 {
+			t.Errorf("%d nodes, want 2001", got)
+		}
+		cancel()
+		synctest.Wait()
+		served.Close()
+	})
+}
