Keep parts that may not run twice from replicas that answered with an error lately

At fault: pick() drew hazard reports by the same shares as parts that may be repeated; a replica becomes a suspect only at the second error in a row, one success between clears it, and bar() starts at the second too. Now a single-shot part draws first among replicas without an error in the last 8 tightest aims.

TestWaryAfterAnError holds it and fails with 0 aims.

--- a/aggregator.go
+++ b/aggregator.go
@@ -38,6 +38,7 @@
 	trialFirst   = 0.2  // first pause before a trial part, as a share of the tightest aim
 	trialLast    = 2.0  // longest such pause; each failed trial doubles it
 	lastPause    = 0.2  // wait before a part's third attempt and on, of the aim: its shard is crowded or dying
+	waryFor      = 8.0  // tightest aims after an error in which a replica gets nothing that may not run twice
 	fullPause    = 0.1  // a full replica is let be for this share of the class's aim, more each time in a row
 	heldUpFrom   = 0.1  // a wake later than this share of the tightest aim: the root itself stood still
 	idleSafety   = 0.7  // share of the idle time after which connections were lost that they are trusted for
@@ -577,8 +578,16 @@
 // the ready ones, then, since health never empties the choice, any listed: the failing last, after a pause.
 func (a *Aggregator) pick(p *part, second bool) *replica {
 	s := a.shardOf(p.Shard)
+	fresh := func(r *replica) bool { return r.ready() && a.now >= r.barred[p.q.cls.idx] && !p.tried(r) }
+	if p.q.cls.Repeat == SingleShot { // an error loses such a part for good, and errors come in runs
+		if r := a.draw(p, s, func(r *replica) bool {
+			return fresh(r) && (r.errorAt == 0 || a.now >= r.errorAt+scale(a.tightest, waryFor))
+		}); r != nil {
+			return r
+		}
+	}
 	for i, ok := range []func(*replica) bool{
-		func(r *replica) bool { return r.ready() && a.now >= r.barred[p.q.cls.idx] && !p.tried(r) },
+		fresh,
 		(*replica).ready,
 		func(r *replica) bool { return !r.failing && !p.tried(r) }, // the slow and the silent come first
 		func(r *replica) bool { return a.now >= r.failedAt+a.firstPause() },
@@ -778,7 +787,7 @@
 		r.restarted, r.failing, r.failedAt = true, true, a.now
 		a.doubt(r, at)
 	case Errored:
-		r.failing, r.failedAt = r.errors > 0, a.now
+		r.failing, r.failedAt, r.errorAt = r.errors > 0, a.now, a.now
 		a.fault(r, at)
 		a.bar(r, c)
 	case TimedOut, Cancelled:
--- a/aggregator_test.go
+++ b/aggregator_test.go
@@ -799,3 +799,56 @@
 		}
 	}
 }
+
+// An error loses a part that may not run twice for good, so for a while after one its replica gets none of
+// them while another can take them; parts that may be repeated still go there. With errors everywhere,
+// parts go out all the same.
+func TestWaryAfterAnError(t *testing.T) {
+	s := base()
+	s.SecondCopies = false
+	once := s.Classes[0]
+	once.Name, once.Repeat = "once", SingleShot
+	s.Classes = append(s.Classes, once)
+	b := start(t, s, names("r1", "r2")...)
+	to := func(class string) map[string]int {
+		got := map[string]int{}
+		for range 60 {
+			b.step(20 * ms)
+			for _, snd := range of[Send](b.query(class, 0)) {
+				got[snd.Replica]++
+				b.step(10*ms, ended(snd.Part, 0, snd.Replica, Served, 10*ms))
+			}
+		}
+		return got
+	}
+	fail := func(replica string) {
+		for {
+			snd := of[Send](b.query("c", 0))[0]
+			if snd.Replica != replica {
+				b.step(ms, ended(snd.Part, 0, snd.Replica, Served, 10*ms))
+				continue
+			}
+			for _, again := range of[Send](b.step(ms, ended(snd.Part, 0, replica, Errored, ms))) {
+				b.step(ms, ended(again.Part, 1, again.Replica, Served, 10*ms))
+			}
+			return
+		}
+	}
+	fail("r1")
+	if got := to("once"); got["r1"] > 0 || got["r2"] == 0 {
+		t.Errorf("soon after an error parts that may not run twice went to %v", got)
+	}
+	b.step(sec)
+	if got := to("c"); got["r1"] == 0 {
+		t.Errorf("parts that may be repeated went to %v", got)
+	}
+	fail("r2")
+	fail("r1")
+	if got := to("once"); got["r1"]+got["r2"] == 0 {
+		t.Error("after errors everywhere nothing is sent")
+	}
+	b.step(scale(2*sec, waryFor))
+	if got := to("once"); got["r1"] == 0 || got["r2"] == 0 {
+		t.Errorf("long after, parts went to %v", got)
+	}
+}
