--- a/cmd/harepass/main.go
+++ b/cmd/harepass/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -29,7 +30,7 @@
 			err = nil
 		}
 	}
-	if err == nil {
+	if err == nil || errors.Is(err, flag.ErrHelp) {
 		return 0
 	}
 	fmt.Fprintf(errs, "harepass: %v\n", err)
@@ -39,10 +40,18 @@
 	return 1
 }
 
-// parse reads a sub-command's flags; none takes further arguments.
-func parse(fs *flag.FlagSet, args []string) error {
+// parse reads a sub-command's flags; none takes further arguments. Asked for help, it prints them to out
+// and returns flag.ErrHelp.
+func parse(fs *flag.FlagSet, args []string, out io.Writer) error {
 	fs.SetOutput(io.Discard)
-	if err := fs.Parse(args); err != nil {
+	err := fs.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintf(out, "usage of harepass %s:\n", fs.Name())
+		fs.SetOutput(out)
+		fs.PrintDefaults()
+		return err
+	}
+	if err != nil {
 		return usageError{fmt.Errorf("%s: %w", fs.Name(), err)}
 	}
 	if fs.NArg() > 0 {
@@ -52,7 +61,7 @@
 }
 
 func printVersion(args []string, out io.Writer) error {
-	if err := parse(flag.NewFlagSet("version", flag.ContinueOnError), args); err != nil {
+	if err := parse(flag.NewFlagSet("version", flag.ContinueOnError), args, out); err != nil {
 		return err
 	}
 	_, err := fmt.Fprintln(out, "harepass", version)
--- a/cmd/harepass/main_test.go
+++ b/cmd/harepass/main_test.go
@@ -46,6 +46,7 @@
 		{nil, "", 2, "usage: "},
 		{[]string{"dance"}, "", 2, "usage: "},
 		{[]string{"help"}, "", 0, "usage: "},
+		{[]string{"serve", "-h"}, "", 0, "-opensearch"},
 		{[]string{"version"}, "", 0, "harepass " + version},
 		{[]string{"version", "now"}, "", 2, `version takes no arguments, got "now"`},
 		{[]string{"serve", "-port", "1"}, "", 2, "flag provided but not defined: -port"},
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -30,15 +30,15 @@
 )
 
 // flags are those of serve and check.
-func flags(name string, args []string) (searchPath string, err error) {
+func flags(name string, args []string, out io.Writer) (searchPath string, err error) {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	fs.StringVar(&searchPath, "opensearch", defaultSearch, "the OpenSearch front's file; the front is off where the default is missing")
-	return searchPath, parse(fs, args)
+	return searchPath, parse(fs, args, out)
 }
 
 // check reads all that serve would and starts nothing.
 func check(args []string, out io.Writer) error {
-	path, err := flags("check", args)
+	path, err := flags("check", args, out)
 	if err != nil {
 		return err
 	}
@@ -73,8 +73,8 @@
 	listens []net.Listener
 }
 
-func serve(args []string, _ io.Writer) error {
-	path, err := flags("serve", args)
+func serve(args []string, out io.Writer) error {
+	path, err := flags("serve", args, out)
 	if err != nil {
 		return err
 	}
