Spoilt node answers fail their own part as an error, not as a dead connection

Cause: nodes.go let the reader end on a spoilt answer, so finish() told Reset for all that was out. The module takes a reset for a replica that died: it becomes a suspect and cold, and for the class's deadline every query sends one part at a time (scoutUntil). Now the part whose answer is spoilt ends as Errored, the others on that connection are taken back (Cancelled, or Moot where unwritten) and the connection is closed. An answer to an unknown id, an unknown letter and a frame that does not end within the connect timeout are spoilt answers too; before, the part waited for its time-out. A good answer counts whatever its report holds (four words were wanted before) and whatever follows it. core.end turned a Cancelled by the caller alone into Served without a value; it no longer does. A node's connections are forgotten with the last of them, and have a limit (unused yet).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -384,7 +384,7 @@
 	}
 	at.ended = true
 	o.deadlines.remove(at.due)
-	if outcome == harepass.Cancelled {
+	if outcome == harepass.Cancelled && at.reason != harepass.Served { // else the caller took it back by itself
 		outcome = at.reason
 	}
 	if outcome == harepass.Served && at.part.value == nil {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -132,6 +132,19 @@
 	}
 }
 
+// A caller takes an attempt back by itself where another's spoilt answer ended their connection: that is no
+// answer, and the part goes out again.
+func TestTakenBackByTheCaller(t *testing.T) {
+	r := newRig(t, nil)
+	r.Submit(r.query("free", 0))
+	r.pass(0)
+	r.Ended(r.hand.last(), harepass.Cancelled, nil)
+	r.pass(0)
+	if r.want(t); len(r.hand.calls) != 2 {
+		t.Errorf("%d calls, want 2", len(r.hand.calls))
+	}
+}
+
 // A value that crosses with the giving up still counts.
 func TestServedWhileGivenUp(t *testing.T) {
 	r := newRig(t, nil)
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -1,9 +1,13 @@
 package platform
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -17,13 +21,17 @@
 // Scheme names the data nodes' frames.
 const Scheme = "frame"
 
-const idleShare = 0.8 // of the time after which nodes close idle connections: later ones are not trusted
+const (
+	idleShare = 0.8 // of the time after which nodes close idle connections: later ones are not trusted
+	pastIDs   = 256 // settled ids that a connection remembers: a late answer or a second copy is no fault
+)
 
 // Nodes speaks frames to data nodes. It is a core.Caller.
 type Nodes struct {
 	Owner          core.Reporter
-	Streams        int // calls that one connection carries at once
-	ConnectTimeout time.Duration
+	Streams        int           // calls that one connection carries at once
+	Most           int           // connections held at once, but for the first to each node; 0 for no limit
+	ConnectTimeout time.Duration // also for an answer to come in whole from its first byte on
 	KeepAlive      time.Duration // idle connections are closed by nodes after this
 	Dial           http1.Dialer  // nil for plain TCP
 
@@ -64,9 +72,12 @@
 	queue   []*nodeCall
 	wake    chan struct{} // holds a token when there is something in the queue, or the end
 	out     []*sending
+	past    []string // ids that were settled here, the latest last
 	calls   int
 	used    time.Time
 	closed  bool
+	spoilt  bool     // by an answer that cannot be read
+	guilty  *sending // whose answer that was, if that can be told
 	c       net.Conn // set once connected
 }
 
@@ -86,25 +97,49 @@
 	c.enqueue(call)
 }
 
-// conn finds a connection with room, or opens one.
+// conn finds a connection with room, or opens one. Where no more may be opened, calls wait unread at the node.
 func (n *Nodes) conn(node core.Node) *nodeConn {
 	if n.conns == nil {
 		n.conns, n.sends = map[string][]*nodeConn{}, map[*core.Attempt]*sending{}
 	}
+	var least *nodeConn
 	for _, c := range slices.Clone(n.conns[node.ID]) {
 		switch {
 		case c.calls == 0 && (c.address != node.Address || time.Since(c.used) > time.Duration(float64(n.KeepAlive)*idleShare)):
 			c.shut()
-		case c.address == node.Address && c.calls < max(1, n.Streams):
-			return c
+		case c.address == node.Address && (least == nil || c.calls < least.calls):
+			least = c
 		}
 	}
+	if least != nil && (least.calls < max(1, n.Streams) || n.full()) {
+		return least
+	}
 	c := &nodeConn{nodes: n, node: node.ID, address: node.Address, wake: make(chan struct{}, 1), used: time.Now()}
 	n.conns[node.ID] = append(n.conns[node.ID], c)
 	go c.run()
 	return c
 }
 
+// full tells, under the lock, that no connection may be opened; the idle ones make way before that.
+func (n *Nodes) full() bool {
+	held := 0
+	for _, list := range n.conns {
+		held += len(list)
+	}
+	if n.Most == 0 || held < n.Most {
+		return false
+	}
+	for _, list := range n.conns {
+		for _, c := range list {
+			if c.calls == 0 {
+				c.shut()
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Abandon implements core.Caller.
 func (n *Nodes) Abandon(at *core.Attempt) {
 	n.mu.Lock()
@@ -165,8 +200,10 @@
 		return
 	}
 	c.closed = true
-	list := c.nodes.conns[c.node]
-	c.nodes.conns[c.node] = slices.DeleteFunc(list, func(o *nodeConn) bool { return o == c })
+	list := slices.DeleteFunc(c.nodes.conns[c.node], func(o *nodeConn) bool { return o == c })
+	if c.nodes.conns[c.node] = list; len(list) == 0 { // the node may be gone for good
+		delete(c.nodes.conns, c.node)
+	}
 	if c.c != nil {
 		c.c.Close()
 	}
@@ -177,6 +214,7 @@
 func (c *nodeConn) settle(s *sending) {
 	c.out = slices.DeleteFunc(c.out, func(o *sending) bool { return o == s })
 	delete(c.nodes.sends, s.at)
+	c.past = append(c.past[max(0, len(c.past)+1-pastIDs):], s.id)
 	c.used = time.Now()
 	if s.call.open--; s.call.open == 0 {
 		c.calls--
@@ -215,7 +253,9 @@
 	<-reading
 }
 
-// finish tells the outcome of all that was still out: reset if it may have been written whole.
+// finish tells the outcome of all that was still out when the writer has ended, for only then it is known
+// what may have run. A connection that the node broke resets it. One that we closed because of a spoilt answer
+// fails the part whose answer that was and takes the others back: that tells nothing of the node's health.
 func (c *nodeConn) finish() {
 	c.nodes.mu.Lock()
 	c.shut()
@@ -226,7 +266,14 @@
 	c.nodes.mu.Unlock()
 	for _, s := range rest {
 		outcome := harepass.ConnectFailed
-		if s.state == written {
+		switch {
+		case s == c.guilty:
+			outcome = harepass.Errored
+		case c.spoilt && s.state == written:
+			outcome = harepass.Cancelled
+		case c.spoilt:
+			outcome = harepass.Moot
+		case s.state == written:
 			outcome = harepass.Reset
 		}
 		c.nodes.Owner.Ended(s.at, outcome, nil)
@@ -315,52 +362,112 @@
 	}
 }
 
-// read takes answers until the connection ends.
+// read takes answers until the connection ends, or until it is of no more use. An answer that has begun has
+// to come in whole within a time, so that one which never ends does not hold up those behind it.
 func (c *nodeConn) read(conn net.Conn) {
 	var b buffer.Buffer
-	for {
+	for begun := false; ; {
 		for {
 			letter, rest, ok, err := nextFrame(&b)
 			if err != nil {
-				slog.Warn("node", "node", c.node, "err", err)
+				c.spoil(b.Bytes(), err)
 				return
 			}
 			if !ok {
 				break
 			}
-			if !c.frame(letter, rest) {
+			begun = false
+			if !c.frame(letter, rest, b.Len() > 0) {
 				return
 			}
 		}
-		if _, err := b.Fill(conn); err != nil {
+		switch {
+		case b.Len() == 0:
+			conn.SetReadDeadline(time.Time{})
+		case c.idle(): // nobody waits for it, and it would spoil the next answer
+			return
+		case !begun:
+			begun = true
+			conn.SetReadDeadline(time.Now().Add(c.nodes.ConnectTimeout))
+		}
+		if _, err := b.Fill(conn); errors.Is(err, os.ErrDeadlineExceeded) {
+			c.spoil(b.Bytes(), errors.New("platform: frame does not end"))
+			return
+		} else if err != nil {
 			return
 		}
 	}
 }
 
-// frame handles one frame; false means that the connection is of no more use.
-func (c *nodeConn) frame(letter byte, rest []byte) bool {
+// idle tells that no answer is awaited.
+func (c *nodeConn) idle() bool {
+	c.nodes.mu.Lock()
+	defer c.nodes.mu.Unlock()
+	return len(c.out) == 0
+}
+
+// frame handles one frame; false means that the connection is of no more use. behind tells that more has
+// come in with it.
+func (c *nodeConn) frame(letter byte, rest []byte, behind bool) bool {
 	switch letter {
 	case frameAnswer:
-		id, outcome, value, err := parseAnswer(rest)
+		a, err := parseAnswer(rest)
 		if err != nil {
-			slog.Warn("node", "node", c.node, "err", err)
+			c.spoil(appendFrame(nil, letter, rest), err)
 			return false
 		}
-		if s := c.find(id); s != nil {
-			c.end(s, outcome, value)
+		s, known := c.find(a.id)
+		if !known {
+			c.spoil(nil, fmt.Errorf("platform: answer to nobody: %q", a.id))
+			return false
 		}
-		return true
-	case frameFault:
-		slog.Warn("node could not use a frame", "node", c.node, "words", string(rest))
+		if s == nil { // a second copy, or the answer to what was given up
+			return true
+		}
+		c.nodes.mu.Lock()
+		useless := behind && len(c.out) == 1
+		if useless { // what comes behind the last answer is spoilt: no call may be sent after it
+			c.shut()
+		}
+		c.nodes.mu.Unlock()
+		c.end(s, a.outcome, a.value)
+		return !useless
+	case frameFault: // the node closes the connection
+		slog.Debug("node could not use a frame", "node", c.node, "words", string(rest))
 		return false
 	}
-	return true
+	c.spoil(nil, fmt.Errorf("platform: unknown letter %q", letter))
+	return false
+}
+
+// spoil marks the connection as spoilt by an answer that cannot be read; data is that answer from its
+// length on, as far as it has come in. If it names no part that is out, it belongs to the only one, if there
+// is just one. The reader then ends, and finish tells the outcomes.
+func (c *nodeConn) spoil(data []byte, err error) {
+	slog.Debug("spoilt answer", "node", c.node, "err", err)
+	var guilty *sending
+	if len(data) > frameHead && data[frameHead] == frameAnswer {
+		id, _, _ := bytes.Cut(data[frameHead+1:], []byte(" "))
+		guilty, _ = c.find(string(id))
+	}
+	c.nodes.mu.Lock()
+	defer c.nodes.mu.Unlock()
+	var written []*sending
+	for _, s := range c.out {
+		if s.state != queued {
+			written = append(written, s)
+		}
+	}
+	if guilty == nil && len(written) == 1 {
+		guilty = written[0]
+	}
+	c.spoilt, c.guilty = true, guilty
+	c.shut()
 }
 
 // find is the attempt that an answer belongs to: the part's first that is written and not given up, or
-// else one that is given up and not settled yet.
-func (c *nodeConn) find(id string) (found *sending) {
+// else one that is given up and not settled yet. known tells that the part is, or was, asked for here.
+func (c *nodeConn) find(id string) (found *sending, known bool) {
 	c.nodes.mu.Lock()
 	defer c.nodes.mu.Unlock()
 	for _, s := range c.out {
@@ -368,5 +475,5 @@
 			found = s
 		}
 	}
-	return found
+	return found, found != nil || slices.Contains(c.past, id)
 }
