SIGHUP reads the platform's configuration again and moves discovery

Now SIGHUP reads PROXY_CONFIG's file again, where the file goes before PROXY_DISCOVERY, and Discovery.Move ends the subscription and begins the next one at the new address at once, with the whole list and no index of the old server's. A bad file is one log line and changes nothing. A call for the list may take 2 s (2.5 before), so that a second try fits in the 4 s after which the list counts as told.

--- a/cmd/harepass/config.go
+++ b/cmd/harepass/config.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"harepass"
@@ -55,12 +57,14 @@
 
 // load reads the platform's configuration, the OpenSearch front's file, or both.
 func load(getenv func(string) string, searchPath string, clock core.Clock) (*setup, error) {
-	s := &setup{limits: defaultLimits, seed: rand.Uint64(), searchPath: searchPath}
-	if path := getenv("PROXY_CONFIG"); path != "" {
-		if err := s.loadPlatform(path, getenv); err != nil {
-			return nil, fmt.Errorf("%s: %w", path, err)
+	s := &setup{limits: defaultLimits, seed: rand.Uint64()}
+	if getenv("PROXY_CONFIG") != "" {
+		var err error
+		if s, err = loadPlatform(getenv); err != nil {
+			return nil, err
 		}
 	}
+	s.searchPath = searchPath
 	_, err := os.Stat(searchPath)
 	switch {
 	case err == nil:
@@ -74,13 +78,23 @@
 }
 
 // loadPlatform reads the file that PROXY_CONFIG names; the other variables go before what it says.
-func (s *setup) loadPlatform(path string, getenv func(string) string) error {
+func loadPlatform(getenv func(string) string) (*setup, error) {
+	path := getenv("PROXY_CONFIG")
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return errors.Unwrap(err) // the path is told already
+		return nil, err
 	}
+	s := &setup{}
+	if err := s.readPlatform(data, getenv); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+func (s *setup) readPlatform(data []byte, getenv func(string) string) error {
 	c := &config{Limits: defaultLimits}
-	if err := json.Unmarshal(data, c); err != nil {
+	err := json.Unmarshal(data, c)
+	if err != nil {
 		return err
 	}
 	for name, field := range map[string]*string{"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery} {
@@ -88,11 +102,13 @@
 			*field = v
 		}
 	}
-	if c.Listen == "" {
-		return errors.New("no listen address")
-	}
-	if c.Discovery == "" {
-		return errors.New("no discovery address")
+	for _, a := range []struct{ what, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if a.address == "" {
+			return fmt.Errorf("no %s address", a.what)
+		}
+		if _, _, err := net.SplitHostPort(a.address); err != nil {
+			return fmt.Errorf("%s address: %w", a.what, err)
+		}
 	}
 	if s.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
 		return fmt.Errorf("seed %q is not a hexadecimal number", c.Seed)
@@ -105,6 +121,15 @@
 	return err
 }
 
+// sameBut tells whether two configurations differ at most in what each reading may bring anew.
+func (c *config) sameBut(o *config) bool {
+	x, y := *c, *o
+	for _, z := range []*config{&x, &y} {
+		z.Discovery, z.Seed, z.Known = "", "", platform.List{}
+	}
+	return reflect.DeepEqual(x, y)
+}
+
 // loadSearch reads the OpenSearch front's file and what it points to.
 func (s *setup) loadSearch(clock core.Clock) error {
 	c, err := opensearch.LoadConfig(s.searchPath)
--- a/cmd/harepass/main_test.go
+++ b/cmd/harepass/main_test.go
@@ -54,9 +54,10 @@
 		{[]string{"serve", "-opensearch", "nowhere.yaml"}, "", 2, "nowhere.yaml: no such file"},
 		{[]string{"serve"}, filepath.Join(dir, "none.json"), 2, "no such file"},
 		{[]string{"serve"}, file("bad.json", "{"), 2, "bad.json: unexpected end"},
-		{[]string{"serve"}, file("bare.json", `{"listen":"x"}`), 2, "no discovery address"},
-		{[]string{"serve"}, file("seed.json", `{"listen":"x","discovery":"y","seed":"zz"}`), 2, `seed "zz"`},
-		{[]string{"serve"}, file("sets.json", `{"listen":"x","discovery":"y","seed":"1f","settings":{}}`), 2, "family_info.positions is missing"},
+		{[]string{"serve"}, file("bare.json", `{"listen":"x:1"}`), 2, "no discovery address"},
+		{[]string{"serve"}, file("port.json", `{"listen":"x:1","discovery":"y"}`), 2, "discovery address: address y: missing port"},
+		{[]string{"serve"}, file("seed.json", `{"listen":"x:1","discovery":"y:1","seed":"zz"}`), 2, `seed "zz"`},
+		{[]string{"serve"}, file("sets.json", `{"listen":"x:1","discovery":"y:1","seed":"1f","settings":{}}`), 2, "family_info.positions is missing"},
 		{[]string{"check", "-opensearch", example}, "", 0, "ok\n"},
 		{[]string{"check", "-opensearch", file("inv.yaml", "listen: x\nsettings: "+abs(t, "../../deploy/settings.example.json")+
 			"\ninventory: bad.csv\nindices: {a: {class: route-lookup}}\n")}, "", 2, "bad.csv:2: host n"},
@@ -151,13 +152,17 @@
 	native, search := reserve(t), reserve(t)
 	_, port, _ := net.SplitHostPort(apiNode.Addr().String())
 	write("nodes.csv", "name,address,port,cell,api\na0,127.0.0.1,"+port+",0,opensearch\n")
-	conf, _ := json.Marshal(map[string]any{"name": "n1", "listen": native, "discovery": discovery.Addr().String(), "seed": "8c1f30d27a5be964",
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"known":    map[string]any{"index": 0, "snapshot": true, "endpoints": []any{}},
-		"settings": json.RawMessage(bytes.Replace(settings, []byte(`"push"`), []byte(`"ask"`), 1))})
+	conf := func(discovery net.Listener) string {
+		data, _ := json.Marshal(map[string]any{"name": "n1", "listen": native, "discovery": discovery.Addr().String(), "seed": "8c1f30d27a5be964",
+			"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+			"known":    map[string]any{"index": 0, "snapshot": true, "endpoints": []any{}},
+			"settings": json.RawMessage(bytes.Replace(settings, []byte(`"push"`), []byte(`"ask"`), 1))})
+		return string(data)
+	}
 	cmd := exec.Command(os.Args[0], "serve", "-opensearch",
 		write("front.yaml", "listen: "+search+"\ninventory: nodes.csv\nindices:\n  trails: {class: route-lookup}\n  hazards: {class: hazard-report, reports: true}\n"))
-	cmd.Env = append(os.Environ(), "HAREPASS_TEST_RUN=1", "PROXY_CONFIG="+write("config.json", string(conf)), "PROXY_LISTEN="+native)
+	cmd.Env = append(os.Environ(), "HAREPASS_TEST_RUN=1", "PROXY_CONFIG="+write("config.json", conf(discovery)), "PROXY_LISTEN="+native,
+		"PROXY_DISCOVERY="+discovery.Addr().String())
 	log := &syncBuffer{}
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
@@ -204,6 +209,29 @@
 		t.Errorf("a drained node was sent %d parts", n)
 	}
 
+	// A bad configuration changes nothing; a good one moves discovery to where it says, the variable notwithstanding,
+	// and what the new list does not name gets nothing more, though its index is lower.
+	write("config.json", "{")
+	cmd.Process.Signal(syscall.SIGHUP)
+	eventually(t, "a refused configuration", func() bool { return strings.Contains(log.String(), "config.json: unexpected end") })
+	fresh, moved := &standin.Fleet{Script: slowAt(5)}, listen(t)
+	freshNode := listen(t)
+	go fresh.Frames(freshNode)
+	go standin.Discovery(moved, func() string {
+		return strings.NewReplacer(`"index":1`, `"index":0`, "f0", "f2", frameNode.Addr().String(), freshNode.Addr().String()).Replace(list)
+	})
+	write("nodes.csv", "name,address,port,cell,api\n")
+	write("config.json", conf(moved))
+	cmd.Process.Signal(syscall.SIGHUP)
+	eventually(t, "discovery's move", func() bool { return ask(t, native, 0) == 200 && len(fresh.Seen()) > 0 })
+	before = len(frames.Seen())
+	for range 5 {
+		if status := ask(t, native, 0, 1, 2); status != 200 || len(frames.Seen()) > before {
+			t.Errorf("after the move: %d, %d parts to a node that is gone", status, len(frames.Seen())-before)
+		}
+	}
+	frames = fresh
+
 	// What is under way at SIGTERM is answered, what comes right after it too, and readiness fails.
 	slow := make(chan int)
 	count := len(frames.Seen())
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -68,6 +68,7 @@
 	*setup
 	clock   core.Clock
 	owner   *core.Owner
+	disc    *platform.Discovery // nil without the platform
 	closers []func()
 	servers []*http1.Server
 	listens []net.Listener
@@ -115,10 +116,9 @@
 		cfg.Callers[opensearch.Scheme] = api
 		p.closers = append(p.closers, api.Close)
 	}
-	var disc *platform.Discovery
 	if p.config != nil {
-		disc = platform.NewDiscovery(p.config.Discovery)
-		cfg.Subscribe, cfg.Asked = disc.Subscribe, platform.Source
+		p.disc = platform.NewDiscovery(p.config.Discovery)
+		cfg.Subscribe, cfg.Asked = p.disc.Subscribe, platform.Source
 	}
 	owner, err := core.New(cfg)
 	if err != nil {
@@ -139,8 +139,8 @@
 	}
 	if p.config != nil {
 		owner.Listed(platform.Source, harepass.ListRemembered, p.known)
-		disc.Listed = func(scope harepass.ListScope, nodes []core.Node) { owner.Listed(platform.Source, scope, nodes) }
-		go disc.Run(ctx)
+		p.disc.Listed = func(scope harepass.ListScope, nodes []core.Node) { owner.Listed(platform.Source, scope, nodes) }
+		go p.disc.Run(ctx)
 		front := &platform.Front{Owner: owner, Clock: p.clock}
 		if err := p.listen(p.config.Listen, &http1.Server{Handler: front.Handle, Limits: http1.DefaultLimits}); err != nil {
 			return err
@@ -163,8 +163,13 @@
 	return nil
 }
 
-// reload reads the inventory again; the list stays as it is where that fails.
+// reload reads the platform's configuration and the inventory again. Each stays as it is where that fails.
 func (p *program) reload() {
+	if p.config != nil {
+		if err := p.reloadPlatform(); err != nil {
+			slog.Error("configuration not reloaded", "err", err)
+		}
+	}
 	if p.inventory == nil {
 		return
 	}
@@ -177,6 +182,32 @@
 	p.owner.Listed(inventory.Source, harepass.ListFull, nodes)
 }
 
+// reloadPlatform follows discovery to its new address. PROXY_DISCOVERY holds what it was at the start, so
+// from now on the file decides. Whatever else has changed is bound to what runs already.
+func (p *program) reloadPlatform() error {
+	next, err := loadPlatform(func(name string) string {
+		if name == "PROXY_DISCOVERY" {
+			return ""
+		}
+		return os.Getenv(name)
+	})
+	if err == nil {
+		_, err = core.New(core.Config{Settings: next.settings})
+	}
+	if err != nil {
+		return err
+	}
+	if !next.config.sameBut(p.config) {
+		slog.Warn("only a new discovery address is taken over; other changes need a restart")
+	}
+	if next.config.Discovery != p.config.Discovery {
+		p.config.Discovery = next.config.Discovery
+		p.disc.Move(next.config.Discovery)
+	}
+	slog.Info("configuration reloaded", "discovery", p.config.Discovery)
+	return nil
+}
+
 // drain answers all that is taken, and takes what still comes while clients learn that this coordinator ends.
 func (p *program) drain() {
 	slog.Info("draining")
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -15,7 +15,7 @@
 
 const (
 	hold      = 10 * time.Second // a watch that brings nothing ends after this
-	listLimit = 2500 * time.Millisecond
+	listLimit = 2 * time.Second  // short enough for a second try within the 4 s that a reload may take
 	listBody  = 4 << 20
 )
 
@@ -58,16 +58,17 @@
 
 // Discovery keeps the owner's list as long as it is asked to.
 type Discovery struct {
-	Address string
-	Dial    http1.Dialer // nil for plain TCP
-	Listed  func(harepass.ListScope, []core.Node)
+	Dial   http1.Dialer // nil for plain TCP
+	Listed func(harepass.ListScope, []core.Node)
 
-	asked chan struct{}
+	address string // of Run alone
+	asked   chan struct{}
+	moved   chan string // the latest new address that Run has not seen
 }
 
 // NewDiscovery returns a Discovery for the service at an address; Listed has to be set before Run.
 func NewDiscovery(address string) *Discovery {
-	return &Discovery{Address: address, asked: make(chan struct{}, 1)}
+	return &Discovery{address: address, asked: make(chan struct{}, 1), moved: make(chan string, 1)}
 }
 
 // Subscribe asks for the list and its changes. It does nothing while a subscription stands.
@@ -78,23 +79,31 @@
 	}
 }
 
+// Move takes the subscription to the service at another address. It is for one goroutine.
+func (d *Discovery) Move(address string) {
+	select { // a move that Run has not seen is overtaken
+	case <-d.moved:
+	default:
+	}
+	d.moved <- address
+}
+
 // Run serves subscriptions until ctx ends. Each begins with the whole list, goes on with watches,
-// and ends with the first failed call, which the owner is told.
+// and ends with the first failed call, which the owner is told. A move ends the subscription too, but the next one
+// begins at once, with the whole list: the new service counts by an index of its own.
 func (d *Discovery) Run(ctx context.Context) {
-	c := &http1.Client{Address: d.Address, Dial: d.Dial, Limits: http1.Limits{Head: 16 << 10, Body: listBody}}
-	defer c.Close()
 	for {
 		select {
 		case <-d.asked:
+		case d.address = <-d.moved:
 		case <-ctx.Done():
 			return
 		}
-		err := d.subscription(ctx, c)
+		for d.subscription(ctx) {
+		}
 		if ctx.Err() != nil {
 			return
 		}
-		slog.Info("discovery lost", "err", err)
-		c.Close()
 		select { // asked while the subscription stood: it was not needed then
 		case <-d.asked:
 		default:
@@ -103,7 +112,34 @@
 	}
 }
 
-func (d *Discovery) subscription(ctx context.Context, c *http1.Client) error {
+// subscription serves one subscription on a connection of its own. True means that it ended by a move.
+func (d *Discovery) subscription(ctx context.Context) (moved bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	watching := make(chan struct{})
+	go func() {
+		defer close(watching)
+		select {
+		case d.address = <-d.moved:
+			moved = true
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	c := &http1.Client{Address: d.address, Dial: d.Dial, Limits: http1.Limits{Head: 16 << 10, Body: listBody}}
+	err := d.follow(ctx, c)
+	c.Close()
+	cancel()
+	<-watching
+	if moved {
+		slog.Info("discovery moved", "to", d.address)
+	} else {
+		slog.Info("discovery lost", "err", err)
+	}
+	return moved
+}
+
+// follow calls for the list and then for its changes until a call fails.
+func (d *Discovery) follow(ctx context.Context, c *http1.Client) error {
 	target, limit := "/registry/instances", listLimit
 	for {
 		list, err := call(ctx, c, target, limit)
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -90,6 +90,58 @@
 	})
 }
 
+// A move ends the watch at the old address and begins at the new one at once, with the whole list, for the
+// index is another's. A new service that cannot be had is told like any other failure.
+func TestMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var memory standin.Net
+		var calls, told []string
+		for _, name := range []string{"old", "new"} {
+			served := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if calls = append(calls, name+r.URL.RequestURI()); r.URL.Query().Has("from") {
+					<-r.Context().Done()
+					return
+				}
+				fmt.Fprintf(w, `{"index":%d,"snapshot":true,"endpoints":[{"name":%q,"address":"a:1","status":"in_service"}]}`, len(name+name[:1])*7, name)
+			})}
+			go served.Serve(memory.Listen(name))
+			defer served.Close()
+		}
+		d := NewDiscovery("old")
+		d.Dial = memory.Dial
+		d.Listed = func(scope harepass.ListScope, nodes []core.Node) {
+			told = append(told, fmt.Sprint(scope))
+			for _, n := range nodes {
+				told = append(told, n.ID)
+			}
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { d.Run(ctx); close(done) }()
+		d.Subscribe()
+		synctest.Wait()
+		began := time.Now()
+		d.Move("nowhere") // overtaken before it is seen, or not: the last address counts
+		d.Move("new")
+		synctest.Wait()
+		if d.Subscribe(); time.Since(began) > 0 {
+			t.Error("the move took its time")
+		}
+		want := "[old/registry/instances old/registry/instances?from=28&hold_ms=10000 new/registry/instances new/registry/instances?from=28&hold_ms=10000]"
+		if fmt.Sprint(calls) != want || told[0] != "1" || told[1] != "old" || told[len(told)-1] != "new" {
+			t.Errorf("calls %v, told %v", calls, told)
+		}
+		told = nil
+		d.Move("nowhere")
+		synctest.Wait()
+		if fmt.Sprint(told) != "[3]" {
+			t.Errorf("no service there: told %v", told)
+		}
+		cancel()
+		<-done
+	})
+}
+
 // The list's body may be larger than a client's request.
 func TestLongList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
