A draining coordinator keeps its clients' connections until the listener closes

Temporary log lines on every answer and on readiness showed: no answer but 200 from either coordinator; the second one is told to end at 16.03 s, new connections stop at 16.3 s, the first one is ready again at 16.32 s and gets its first query at 16.9 s. In between no coordinator gets new connections, and the draining one had closed the clients' own, for Server.Drain at SIGTERM made every answer say Connection: close. Excluded: nodes (no failed attempt), crossing closes (0 sent again), connections not taken (0). Now connections are kept until the listener closes (700 ms), each is then closed with an answer, and idle ones after 1.2 s. What is taken while draining is answered before the platform may kill: the owner cuts its time.

--- a/cmd/harepass/main_test.go
+++ b/cmd/harepass/main_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,8 +16,13 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/http1"
+	"harepass/internal/platform"
 	"harepass/internal/standin"
 )
 
@@ -253,6 +260,57 @@
 	}
 }
 
+// While other coordinators may not be up yet, clients of one that drains go on using their connections: these are
+// closed only with an answer given after the listener is closed, or when they have nothing open then.
+func TestDrainKeepsConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &program{setup: &setup{settings: harepass.Settings{Roots: 1, Cells: 1, Reach: 1, CallBatch: 1, MaxAttempts: 1,
+			Classes: []harepass.Class{{Name: "c", Aim: time.Second, Deadline: time.Second, Need: 1, Floor: 1}}}}, clock: core.SystemClock()}
+		var err error
+		p.owner, err = core.New(core.Config{Settings: p.settings, Clock: p.clock, Subscribe: func() {}, Limits: core.Limits{Drain: p.drainTime()}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		go p.owner.Run()
+		var memory standin.Net
+		l := memory.Listen("c")
+		s := &http1.Server{Handler: (&platform.Front{Owner: p.owner, Clock: p.clock}).Handle, Limits: http1.DefaultLimits}
+		go s.Serve(l)
+		p.servers, p.listens = []*http1.Server{s}, []net.Listener{l}
+		dial := func() *http1.Client {
+			return &http1.Client{Address: "c", Dial: memory.Dial, Limits: http1.DefaultLimits}
+		}
+		id := 0
+		ask := func(c *http1.Client) string { // no node holds the shard: it is refused when its time is over
+			id++
+			a, _, err := c.Do(context.Background(), &http1.Message{Method: "POST", Target: "/api", Body: []byte(`{"slices":[{"slice":0,"mass":1}],"filter":""}`),
+				Header: textproto.MIMEHeader{"X-Call-Id": {fmt.Sprint(id)}, "X-Call-Class": {"c"}, "X-Budget": {"50m"}}})
+			if err != nil {
+				return "none"
+			}
+			return fmt.Sprint(a.Status, " ", a.Close)
+		}
+		used, idle := dial(), dial()
+		ask(used)
+		ask(idle)
+		began := time.Now()
+		ended := make(chan struct{})
+		go func() { p.drain(); close(ended) }()
+		time.Sleep(time.Millisecond)
+		got := []string{ask(used), ask(used), ask(dial())}
+		time.Sleep(acceptAfterTerm - time.Since(began) + time.Millisecond)
+		got = append(got, ask(used), ask(used), ask(dial()))
+		<-ended
+		got = append(got, ask(idle))
+		if want := "[429 false 429 false 429 false 429 true none none none]"; fmt.Sprint(got) != want {
+			t.Errorf("answers and whether they close: %v, want %s", got, want)
+		}
+		if took := time.Since(began); took != closeAfterTerm {
+			t.Errorf("it took %v", took)
+		}
+	})
+}
+
 // slowAt serves at once but for one shard.
 func slowAt(slow int) func(shard, try int) standin.Reply {
 	return func(shard, _ int) standin.Reply {
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -23,10 +23,13 @@
 )
 
 const (
-	acceptAfterTerm = 700 * time.Millisecond // clients find out late that a coordinator leaves
-	memoryShare     = 0.6                    // of the limit, for the collector; stacks and buffers of sockets come on top
-	nodeSockets     = 320                    // descriptors kept for nodes, discovery and the program's own
-	apiBody         = 256 << 10              // bytes of a request of the OpenSearch-style API
+	acceptAfterTerm = 700 * time.Millisecond  // clients find out late that a coordinator leaves
+	closeAfterTerm  = 1200 * time.Millisecond // from then on no connection is waited for that has nothing open
+	killAfter       = 3 * time.Second         // where no class has a tighter deadline: after so long, and acceptAfterTerm, the platform kills
+	killMargin      = 100 * time.Millisecond
+	memoryShare     = 0.6       // of the limit, for the collector; stacks and buffers of sockets come on top
+	nodeSockets     = 320       // descriptors kept for nodes, discovery and the program's own
+	apiBody         = 256 << 10 // bytes of a request of the OpenSearch-style API
 )
 
 // flags are those of serve and check.
@@ -107,7 +110,7 @@
 // start builds the owner with its callers and fronts and sets all going.
 func (p *program) start(ctx context.Context) error {
 	frames := &platform.Nodes{Streams: p.caps.Streams, ConnectTimeout: p.caps.ConnectTimeout, KeepAlive: p.caps.KeepAlive}
-	cfg := core.Config{Seed: p.seed, Settings: p.settings, Limits: core.Limits{Open: p.caps.Open}, Clock: p.clock,
+	cfg := core.Config{Seed: p.seed, Settings: p.settings, Limits: core.Limits{Open: p.caps.Open, Drain: p.drainTime()}, Clock: p.clock,
 		Callers: map[string]core.Caller{platform.Scheme: frames}, Subscribe: func() {}, Asked: inventory.Source}
 	p.closers = append(p.closers, frames.Close)
 	var api *opensearch.Nodes
@@ -208,17 +211,20 @@
 	return nil
 }
 
-// drain answers all that is taken, and takes what still comes while clients learn that this coordinator ends.
+// drain answers all that is taken, and takes what still comes while clients learn that this coordinator ends:
+// they go on using the connections that they have, and another coordinator may not be up yet. So these are
+// closed one by one, each with an answer, only when no new ones come any more.
 func (p *program) drain() {
 	slog.Info("draining")
 	p.owner.Drain()
-	for _, s := range p.servers {
-		s.Drain()
-	}
 	time.Sleep(acceptAfterTerm)
 	for _, l := range p.listens {
 		l.Close()
 	}
+	for _, s := range p.servers {
+		s.Drain()
+	}
+	time.Sleep(closeAfterTerm - acceptAfterTerm)
 	for _, s := range p.servers {
 		s.Shutdown()
 	}
@@ -228,3 +234,12 @@
 	}
 	slog.Info("stopped")
 }
+
+// drainTime is when, after SIGTERM, the last query has to have its answer: before the platform kills.
+func (p *program) drainTime() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range p.settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return acceptAfterTerm + min(longest, killAfter) - killMargin
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,7 +17,8 @@
 
 // Limits are the figures of a coordinator that bind the root round the module rather than the module.
 type Limits struct {
-	Open int // queries and parts held at once, sent or not; 0 for no limit
+	Open  int           // queries and parts held at once, sent or not; 0 for no limit
+	Drain time.Duration // from Drain on, until the last query has to have its answer; 0 for no limit
 }
 
 // Clock reads the time as a duration since the Unix epoch; it never goes back.
@@ -147,9 +148,10 @@
 	events    []harepass.Event
 	deadlines deadlines
 	wake      *deadline
-	held      int  // queries and parts open
-	list      bool // discovery has answered, be it with a refusal
-	ending    bool // to stop when nothing is open
+	held      int           // queries and parts open
+	drainEnd  time.Duration // once it drains: by then all has to be answered
+	list      bool          // discovery has answered, be it with a refusal
+	ending    bool          // to stop when nothing is open
 }
 
 type listedNode struct {
@@ -291,6 +293,9 @@
 		m.q.Done(Answer{Verdict: Refused, RetryIn: o.cfg.Settings.RetryAdvice})
 		return
 	}
+	if o.drainEnd > 0 {
+		m.q.Until = min(m.q.Until, o.drainEnd)
+	}
 	o.held += size
 	o.next++
 	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10)}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -222,6 +222,18 @@
 }
 
 // The phases go one way, and a draining owner stops when its last query has been answered.
+// What is taken while it drains has its answer before the platform kills, whatever time the client gives.
+func TestDrainBoundsTheTime(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Limits.Drain = time.Second })
+	r.Drain()
+	r.pass(600 * ms)
+	r.Submit(r.query("free", 0))
+	r.pass(390 * ms)
+	r.want(t)
+	r.pass(11 * ms)
+	r.want(t, "1 whole=false []")
+}
+
 func TestPhases(t *testing.T) {
 	r := newRig(t, nil)
 	var seen []string
--- a/internal/core/phase.go
+++ b/internal/core/phase.go
@@ -30,7 +30,13 @@
 
 type stopping struct{}
 
-func (draining) apply(o *Owner) { o.to(Draining) }
+// apply also bounds the time of what is taken from now on, for the end is near.
+func (draining) apply(o *Owner) {
+	o.to(Draining)
+	if o.cfg.Limits.Drain > 0 && o.drainEnd == 0 {
+		o.drainEnd = o.now + o.cfg.Limits.Drain
+	}
+}
 
 // apply marks the owner as ending; advance ends it when the last query has its answer.
 func (stopping) apply(o *Owner) { o.to(Draining); o.ending = true }
