--- a/cmd/harepass/config.go
+++ b/cmd/harepass/config.go
@@ -35,6 +35,22 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// Of the descriptors, the program keeps some for itself (streams, poller, listeners, discovery twice while it
+// moves, files read again) and a quarter of all for nodes; clients have the rest. A client's connection is
+// taken to cost this much memory with its goroutines, buffer and a request under way.
+const (
+	ownSockets   = 24
+	clientMemory = 128 << 10
+)
+
+// nodes is how many connections to nodes there may be, besides the first one to each.
+func (l limits) nodes() int { return max(1, l.Sockets/4) }
+
+// clients is how many connections of clients there may be.
+func (l limits) clients() int {
+	return max(1, min(l.Sockets-l.nodes()-ownSockets, l.MemoryMB<<20/clientMemory))
+}
+
 // defaultLimits hold where no platform tells any.
 var defaultLimits = limits{Cores: 1, MemoryMB: 192, Sockets: 1024}
 
@@ -116,6 +132,9 @@
 	if s.settings, s.caps, err = wire.JSONSettings(c.Settings); err != nil {
 		return err
 	}
+	if c.Limits.Sockets < 2*ownSockets || c.Limits.MemoryMB < 1 {
+		return fmt.Errorf("limits %+v are too low", c.Limits)
+	}
 	s.config, s.limits = c, c.Limits
 	s.known, err = c.Known.Nodes()
 	return err
--- a/cmd/harepass/main_test.go
+++ b/cmd/harepass/main_test.go
@@ -44,6 +44,11 @@
 		return path
 	}
 	example := "../../deploy/opensearch.example.yaml"
+	data, err := os.ReadFile("../../deploy/settings.example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := string(data)
 	for _, tc := range []struct {
 		args   []string
 		config string // PROXY_CONFIG
@@ -65,6 +70,7 @@
 		{[]string{"serve"}, file("port.json", `{"listen":"x:1","discovery":"y"}`), 2, "discovery address: address y: missing port"},
 		{[]string{"serve"}, file("seed.json", `{"listen":"x:1","discovery":"y:1","seed":"zz"}`), 2, `seed "zz"`},
 		{[]string{"serve"}, file("sets.json", `{"listen":"x:1","discovery":"y:1","seed":"1f","settings":{}}`), 2, "family_info.positions is missing"},
+		{[]string{"serve"}, file("limits.json", `{"listen":"x:1","discovery":"y:1","seed":"1f","limits":{"sockets":9,"memory_mb":64},"settings":`+settings+`}`), 2, "too low"},
 		{[]string{"check", "-opensearch", example}, "", 0, "ok\n"},
 		{[]string{"check", "-opensearch", file("inv.yaml", "listen: x\nsettings: "+abs(t, "../../deploy/settings.example.json")+
 			"\ninventory: bad.csv\nindices: {a: {class: route-lookup}}\n")}, "", 2, "bad.csv:2: host n"},
@@ -80,6 +86,21 @@
 	}
 }
 
+// Every reserve follows from the configured limits: there were days on which a fixed one left clients one
+// connection.
+func TestReserves(t *testing.T) {
+	for _, tc := range []struct{ sockets, memory, clients, nodes int }{
+		{256, 64, 168, 64},
+		{1024, 192, 744, 256},
+		{1024, 32, 256, 256},
+	} {
+		l := limits{Sockets: tc.sockets, MemoryMB: tc.memory}
+		if l.clients() != tc.clients || l.nodes() != tc.nodes || l.clients()+l.nodes()+ownSockets > tc.sockets || l.clients() < tc.sockets/4 {
+			t.Errorf("%+v: %d for clients, %d for nodes", l, l.clients(), l.nodes())
+		}
+	}
+}
+
 func abs(t *testing.T, path string) string {
 	path, err := filepath.Abs(path)
 	if err != nil {
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -28,7 +28,6 @@
 	killAfter       = 3 * time.Second         // where no class has a tighter deadline: after so long, and acceptAfterTerm, the platform kills
 	killMargin      = 100 * time.Millisecond
 	memoryShare     = 0.6       // of the limit, for the collector; stacks and buffers of sockets come on top
-	nodeSockets     = 320       // descriptors kept for nodes, discovery and the program's own
 	apiBody         = 256 << 10 // bytes of a request of the OpenSearch-style API
 )
 
@@ -109,13 +108,14 @@
 
 // start builds the owner with its callers and fronts and sets all going.
 func (p *program) start(ctx context.Context) error {
-	frames := &platform.Nodes{Streams: p.caps.Streams, ConnectTimeout: p.caps.ConnectTimeout, KeepAlive: p.caps.KeepAlive}
-	cfg := core.Config{Seed: p.seed, Settings: p.settings, Limits: core.Limits{Open: p.caps.Open, Drain: p.drainTime()}, Clock: p.clock,
+	frames := &platform.Nodes{Streams: p.caps.Streams, Most: p.limits.nodes(), ConnectTimeout: p.caps.ConnectTimeout, KeepAlive: p.caps.KeepAlive}
+	cfg := core.Config{Seed: p.seed, Settings: p.settings, Limits: core.Limits{Open: p.caps.Open, Shards: p.caps.Shards, Drain: p.drainTime()}, Clock: p.clock,
 		Callers: map[string]core.Caller{platform.Scheme: frames}, Subscribe: func() {}, Asked: inventory.Source}
 	p.closers = append(p.closers, frames.Close)
 	var api *opensearch.Nodes
 	if p.search != nil {
-		api = &opensearch.Nodes{Config: p.search, ConnectTimeout: p.caps.ConnectTimeout, KeepAlive: p.caps.KeepAlive}
+		frames.Most = max(1, frames.Most/2)
+		api = &opensearch.Nodes{Config: p.search, Most: frames.Most, ConnectTimeout: p.caps.ConnectTimeout, KeepAlive: p.caps.KeepAlive}
 		cfg.Callers[opensearch.Scheme] = api
 		p.closers = append(p.closers, api.Close)
 	}
@@ -150,7 +150,7 @@
 		}
 	}
 	for i, s := range p.servers {
-		s.Conns = max(1, (p.limits.Sockets-nodeSockets)/len(p.servers))
+		s.Conns = max(1, p.limits.clients()/len(p.servers))
 		go s.Serve(p.listens[i])
 	}
 	return nil
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -17,8 +19,9 @@
 
 // Limits are the figures of a coordinator that bind the root round the module rather than the module.
 type Limits struct {
-	Open  int           // queries and parts held at once, sent or not; 0 for no limit
-	Drain time.Duration // from Drain on, until the last query has to have its answer; 0 for no limit
+	Open   int           // queries and parts held at once, sent or not; 0 for no limit
+	Shards int           // 0 if that is not told
+	Drain  time.Duration // from Drain on, until the last query has to have its answer; 0 for no limit
 }
 
 // Clock reads the time as a duration since the Unix epoch; it never goes back.
@@ -58,6 +61,7 @@
 	Served Verdict = iota
 	Refused
 	Failed
+	Invalid // no query that could be served: never begun
 )
 
 // Answer is the one final answer to a query. Values has an entry for each part, nil where none came in.
@@ -66,6 +70,7 @@
 	Whole   bool
 	Values  [][]byte
 	RetryIn time.Duration
+	Reason  string // what is invalid
 }
 
 // Node is a replica with the way to reach it.
@@ -125,6 +130,8 @@
 	queueSize   = 1024                  // messages waiting for the owner; fronts refuse beyond it
 	abandonWait = 20 * time.Millisecond // for a caller to get the word out, should the way be blocked
 	overdue     = 10 * time.Millisecond // past a client's time: the module's own answer is late
+	weightSlack = 1e-3                  // rounding in a query's weights, as clients write them
+	longestID   = 128
 )
 
 // ErrSecondStep is returned for classes with a second step, which no front of this program has.
@@ -143,6 +150,7 @@
 	next      int64
 	queries   map[string]*query // by the module's id
 	byQuery   map[*Query]*query
+	ids       map[string]struct{} // that clients gave to queries whose time is not over
 	parts     map[string]*part
 	nodes     map[string]listedNode
 	events    []harepass.Event
@@ -188,7 +196,7 @@
 	}
 	return &Owner{cfg: cfg, agg: agg, queue: make(chan message, queueSize), done: make(chan struct{}),
 		ready: make(chan struct{}), queries: map[string]*query{}, byQuery: map[*Query]*query{},
-		parts: map[string]*part{}, nodes: map[string]listedNode{}, deadlines: newDeadlines()}, nil
+		ids: map[string]struct{}{}, parts: map[string]*part{}, nodes: map[string]listedNode{}, deadlines: newDeadlines()}, nil
 }
 
 // message is something that another goroutine tells the owner.
@@ -286,9 +294,14 @@
 	}
 }
 
-// apply opens a query, or refuses it where the owner holds as much as it may.
+// apply opens a query, or refuses it where the owner holds as much as it may. Nodes know a part by its query's
+// id, so one that is taken stays so until its client's time is over and no node can still be at it.
 func (m submitted) apply(o *Owner) {
 	size := 1 + len(m.q.Parts)
+	if _, taken := o.ids[m.q.ID]; taken {
+		m.q.Done(Answer{Verdict: Invalid, Reason: "the id is taken"})
+		return
+	}
 	if o.cfg.Limits.Open > 0 && o.held+size > o.cfg.Limits.Open {
 		m.q.Done(Answer{Verdict: Refused, RetryIn: o.cfg.Settings.RetryAdvice})
 		return
@@ -301,6 +314,8 @@
 	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10)}
 	o.queries[q.id], o.byQuery[m.q] = q, q
 	q.due = o.deadlines.add(q.Until+overdue, func() { o.overdue(q) })
+	o.ids[q.ID] = struct{}{}
+	o.deadlines.add(q.Until+overdue+abandonWait, func() { delete(o.ids, q.ID) })
 	o.events = append(o.events, harepass.QueryArrived{ID: q.id, Number: o.next, Class: q.Class,
 		Tenant: q.Tenant, ValidUntil: q.Until, Parts: len(q.Parts), IsRetry: q.Retry, Whole: q.Whole})
 	for i, p := range q.Parts {
@@ -327,13 +342,28 @@
 	if m.source != o.cfg.Asked {
 		ev.Scope = harepass.ListRemembered
 	}
+	before := map[string]listedNode{} // those that the list may take away
 	if m.scope == harepass.ListFull || m.scope == harepass.ListRemembered {
-		maps.DeleteFunc(o.nodes, func(_ string, n listedNode) bool { return n.source == m.source })
+		for id, n := range o.nodes {
+			if n.source == m.source {
+				before[id] = n
+				delete(o.nodes, id)
+			}
+		}
 	}
 	for _, n := range m.nodes {
-		o.nodes[n.ID] = listedNode{n, m.source}
+		if before[n.ID] = o.nodes[n.ID]; n.State == harepass.Gone { // the module is told, the owner forgets it
+			delete(o.nodes, n.ID)
+		} else {
+			o.nodes[n.ID] = listedNode{n, m.source}
+		}
 		ev.Replicas = append(ev.Replicas, n.Replica)
 	}
+	for id, n := range before { // what is out there still has its connection, which ends when it has been idle
+		if _, here := o.nodes[id]; !here && o.cfg.Callers[n.Scheme] != nil {
+			o.cfg.Callers[n.Scheme].Disconnect(id)
+		}
+	}
 	if ev.Scope == harepass.ListFull || ev.Scope == harepass.ListRemembered {
 		ev.Replicas = nil
 		for _, id := range slices.Sorted(maps.Keys(o.nodes)) {
@@ -484,8 +514,54 @@
 	return at
 }
 
+// check finds what makes a query one that could not be served, as far as the settings tell; it is for any
+// goroutine. A client's time is cut to what its class allows.
+func (o *Owner) check(q *Query) (reason string) {
+	class := slices.IndexFunc(o.cfg.Settings.Classes, func(c harepass.Class) bool { return c.Name == q.Class })
+	tenants := o.cfg.Settings.Tenants
+	switch now := o.cfg.Clock(); {
+	case q.ID == "" || len(q.ID) > longestID || strings.ContainsFunc(q.ID, notInID):
+		return "bad id"
+	case class < 0:
+		return "unknown class"
+	case q.Tenant != "" && len(tenants) > 0 && !slices.ContainsFunc(tenants, func(t harepass.Tenant) bool { return t.Name == q.Tenant }):
+		return "unknown tenant"
+	case q.Until <= now:
+		return "no time left"
+	case len(q.Parts) == 0:
+		return "no parts"
+	default:
+		q.Until = min(q.Until, now+o.cfg.Settings.Classes[class].Deadline)
+	}
+	sum, seen := 0.0, map[int]bool{}
+	for _, p := range q.Parts {
+		switch {
+		case p.Shard < 0 || o.cfg.Limits.Shards > 0 && p.Shard >= o.cfg.Limits.Shards:
+			return fmt.Sprintf("unknown shard %d", p.Shard)
+		case seen[p.Shard]:
+			return fmt.Sprintf("shard %d twice", p.Shard)
+		case !(p.Weight > 0 && p.Weight <= 1+weightSlack):
+			return fmt.Sprintf("weight %g", p.Weight)
+		}
+		seen[p.Shard] = true
+		sum += p.Weight
+	}
+	if !(math.Abs(sum-1) <= weightSlack) {
+		return fmt.Sprintf("weights sum to %g", sum)
+	}
+	return ""
+}
+
+// notInID tells what could not stand in an id on some wire; a dot parts it from the shard.
+func notInID(c rune) bool {
+	return (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' && c != '_'
+}
+
 // Ask submits a query and waits for its answer, or for its client to leave.
 func (o *Owner) Ask(q *Query, gone <-chan struct{}) Answer {
+	if reason := o.check(q); reason != "" {
+		return Answer{Verdict: Invalid, Reason: reason}
+	}
 	answers := make(chan Answer, 1)
 	q.Done = func(a Answer) { answers <- a }
 	if !o.Submit(q) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,6 +32,7 @@
 	hand    *hand
 	clock   time.Duration
 	answers []string
+	asked   int
 }
 
 func newRig(t *testing.T, change func(*Config)) *rig {
@@ -65,7 +68,8 @@
 }
 
 func (r *rig) query(class string, shards ...int) *Query {
-	q := &Query{ID: "q", Class: class, Until: r.clock + 3*time.Second}
+	r.asked++
+	q := &Query{ID: fmt.Sprint("q", r.asked), Class: class, Until: r.clock + 3*time.Second}
 	for _, s := range shards {
 		q.Parts = append(q.Parts, Part{Shard: s, Weight: 1 / float64(len(shards))})
 	}
@@ -326,3 +330,80 @@
 		t.Error("a class with a second step is taken")
 	}
 }
+
+// What no node could serve is told at once and never begun: another open query's id above all, for nodes would
+// take its parts for that one's.
+func TestQueriesThatAreNone(t *testing.T) {
+	r := newRig(t, func(c *Config) {
+		c.Limits.Shards = 24
+		c.Settings.Tenants = []harepass.Tenant{{Name: "kitakaze"}}
+	})
+	for change, want := range map[string]struct {
+		do     func(*Query)
+		reason string
+	}{
+		"no id":          {func(q *Query) { q.ID = "" }, "bad id"},
+		"long id":        {func(q *Query) { q.ID = strings.Repeat("x", 200) }, "bad id"},
+		"id with a dot":  {func(q *Query) { q.ID = "a.3" }, "bad id"},
+		"id of lines":    {func(q *Query) { q.ID = "a\nb" }, "bad id"},
+		"class":          {func(q *Query) { q.Class = "none" }, "unknown class"},
+		"tenant":         {func(q *Query) { q.Tenant = "none" }, "unknown tenant"},
+		"no time":        {func(q *Query) { q.Until = r.clock }, "no time left"},
+		"no parts":       {func(q *Query) { q.Parts = nil }, "no parts"},
+		"shard":          {func(q *Query) { q.Parts[1].Shard = 24 }, "unknown shard 24"},
+		"negative shard": {func(q *Query) { q.Parts[1].Shard = -1 }, "unknown shard -1"},
+		"shard twice":    {func(q *Query) { q.Parts[1].Shard = 0 }, "shard 0 twice"},
+		"no weight":      {func(q *Query) { q.Parts[0].Weight, q.Parts[1].Weight = 0, 1 }, "weight 0"},
+		"negative":       {func(q *Query) { q.Parts[0].Weight, q.Parts[1].Weight = -0.5, 1.5 }, "weight -0.5"},
+		"not a number":   {func(q *Query) { q.Parts[0].Weight = math.NaN() }, "weight NaN"},
+		"too little":     {func(q *Query) { q.Parts[0].Weight = 0.4 }, "weights sum to 0.9"},
+		"too much":       {func(q *Query) { q.Parts[0].Weight = 0.6 }, "weights sum to 1.1"},
+	} {
+		q := r.query("free", 0, 1)
+		q.Tenant = "kitakaze"
+		want.do(q)
+		if a := r.Ask(q, nil); a.Verdict != Invalid || a.Reason != want.reason || len(r.queue) > 0 {
+			t.Errorf("%s: %+v, want %q", change, a, want.reason)
+		}
+	}
+	first, second := r.query("free", 0), r.query("free", 0)
+	first.Until += time.Minute // no client is waited for longer than its class allows
+	if second.ID = first.ID; r.check(&Query{ID: "x", Class: "free", Tenant: "kitakaze", Parts: first.Parts, Until: first.Until}) != "" {
+		t.Error("a sound query is turned away")
+	}
+	r.Submit(first)
+	r.Submit(second)
+	r.pass(0)
+	r.want(t, "3 whole=false []")
+	r.Ended(r.hand.last(), harepass.Served, []byte("v"))
+	r.pass(0)
+	r.Submit(second) // nor is it free right after the answer
+	r.pass(0)
+	r.want(t, "3 whole=false []", `0 whole=true ["v"]`, "3 whole=false []")
+	r.pass(2 * time.Minute)
+	if len(r.ids) > 0 || r.deadlines.tree.Len() > 1 {
+		t.Errorf("%d ids and %d deadlines remain", len(r.ids), r.deadlines.tree.Len())
+	}
+}
+
+// A long life of ever-new nodes leaves nothing behind: what has gone is forgotten, and its connections closed.
+func TestNodesAreForgotten(t *testing.T) {
+	r := newRig(t, nil)
+	node := func(i int, s harepass.ReplicaState) Node {
+		return Node{Replica: harepass.Replica{ID: fmt.Sprint("n", i), State: s}, Address: "x", Scheme: "hand"}
+	}
+	for i := range 50 {
+		r.Listed("test", harepass.ListChanges, []Node{node(i, harepass.Ready)})
+		r.pass(time.Second)
+		r.Listed("test", harepass.ListChanges, []Node{node(i, harepass.Gone)})
+	}
+	r.pass(0)
+	if len(r.nodes) != 1 || len(r.hand.idle) < 50 {
+		t.Errorf("%d nodes remain, %d were disconnected", len(r.nodes), len(r.hand.idle))
+	}
+	r.Listed("test", harepass.ListFull, []Node{node(99, harepass.Ready)})
+	r.pass(0)
+	if r.nodes["n99"].ID == "" || len(r.nodes) != 1 || r.hand.idle[len(r.hand.idle)-1] != "a" {
+		t.Errorf("nodes %v after a full list, disconnected %v", r.nodes, r.hand.idle)
+	}
+}
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -29,7 +29,8 @@
 }
 
 // Do sends a request and returns its answer. written tells whether the request's last byte was
-// written: if not, the server cannot have run it. After an error the connection is closed.
+// written: if not, the server cannot have run it. After an error the connection is closed, and where more
+// has come than the answer too: that would be taken for the next one. An answer that cannot be read is an *Error.
 func (cl *Client) Do(ctx context.Context, req *Message) (answer *Message, written bool, err error) {
 	if cl.c == nil {
 		if err := cl.Connect(ctx); err != nil {
@@ -39,7 +40,7 @@
 	c := cl.c
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer func() {
-		if !stop() || err != nil || answer.Close {
+		if !stop() || err != nil || answer.Close || !cl.r.Idle() {
 			cl.Close()
 		}
 	}()
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -385,6 +385,6 @@
 
 var reasons = map[int]string{200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found",
 	403: "Forbidden",
-	405: "Method Not Allowed", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
+	405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
 	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported"}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -12,10 +12,13 @@
 )
 
 const (
-	requestTime = 10 * time.Second // from a request's first byte to its last
-	answerTime  = 5 * time.Second  // for a peer to take an answer
+	idleTime    = 2200 * time.Millisecond // a connection with no open request is closed after this
+	requestTime = 2500 * time.Millisecond // from a request's first byte to its last; from the accepting for the first one
+	answerTime  = 3 * time.Second         // for a peer to take an answer
+	stallTime   = 500 * time.Millisecond  // a request that is not whole after this does not hold its place when others come
 	acceptPause = 10 * time.Millisecond
-	lingerTime  = time.Second // for a peer that is still sending to notice its answer
+	acceptWords = 10 * time.Second       // between two log lines on accepting
+	lingerTime  = 400 * time.Millisecond // for a peer that is still sending to notice its answer
 	lingerBytes = 1 << 20
 )
 
@@ -28,7 +31,7 @@
 	Handler Handler
 	Limits  Limits
 	Fault   func(*Error) *Message // words what is wrong with a request, in place of plain text
-	Conns   int                   // connections held at once; the longest idle one makes room for the next
+	Conns   int                   // connections held at once; one without a whole request makes room for the next
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -38,13 +41,17 @@
 
 type conn struct {
 	net.Conn
-	s     *Server
-	open  int       // requests between their first byte and their answer
-	since time.Time // when it last became idle
+	s        *Server
+	accepted time.Time
+	open     int       // requests between their first byte and their answer
+	whole    int       // those of them that have come in whole
+	used     bool      // some request has come in whole
+	since    time.Time // when it last became idle, or began a request
 }
 
 // Serve accepts until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	var told time.Time
 	for {
 		for s.allBusy() { // what knocks meanwhile waits in the backlog
 			time.Sleep(acceptPause)
@@ -54,46 +61,59 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case err != nil: // out of descriptors, or the peer was gone already
-			slog.Warn("accept", "err", err)
+			if time.Since(told) > acceptWords {
+				told = time.Now()
+				slog.Warn("accept", "err", err)
+			}
 			time.Sleep(acceptPause)
 			continue
 		}
-		s.start(&conn{Conn: c, s: s, since: time.Now()})
+		s.start(&conn{Conn: c, s: s})
 	}
 }
 
-// start serves a connection; where that is one too many, the longest idle one makes way for it.
+// start serves a connection; where that is one too many, another makes way for it.
 func (s *Server) start(c *conn) {
+	c.accepted = time.Now()
+	c.since = c.accepted
+	c.SetReadDeadline(c.accepted.Add(idleTime))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
 		s.conns = map[*conn]struct{}{}
 	}
-	if oldest := s.oldestIdle(); s.full() && oldest != nil {
-		delete(s.conns, oldest)
-		oldest.Close()
+	if s.full() {
+		if least := s.least(); least != nil {
+			delete(s.conns, least)
+			least.Close()
+		}
 	}
 	s.conns[c] = struct{}{}
 	s.wg.Go(c.serve)
 }
 
-// full and oldestIdle are called under the lock.
+// full and least are called under the lock.
 func (s *Server) full() bool { return s.Conns > 0 && len(s.conns) >= s.Conns }
 
-func (s *Server) oldestIdle() (oldest *conn) {
+// least is the connection that makes way first: of those with no whole request open, one that has never
+// brought any, then the one that has waited longest. So a flood of silent peers displaces itself.
+func (s *Server) least() (least *conn) {
 	for c := range s.conns {
-		if c.open == 0 && (oldest == nil || c.since.Before(oldest.since)) {
-			oldest = c
+		if c.whole > 0 || c.open > 0 && time.Since(c.since) < stallTime {
+			continue
+		}
+		if least == nil || !c.used && least.used || c.used == least.used && c.since.Before(least.since) {
+			least = c
 		}
 	}
-	return oldest
+	return least
 }
 
 // allBusy tells whether there is no room for another connection and none could make way.
 func (s *Server) allBusy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.full() && s.oldestIdle() == nil
+	return s.full() && s.least() == nil
 }
 
 // Drain makes every further answer the last one of its connection.
@@ -116,18 +136,36 @@
 	s.wg.Wait()
 }
 
-// begin and end mark a request's first byte and its answer.
+// begin, got and end mark a request's first byte, its last, and its answer. They set the time in which the
+// next bytes have to come: none while a request is open and the next one has not begun.
 func (c *conn) begin() {
 	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
 	c.open++
-	c.s.mu.Unlock()
-	c.SetReadDeadline(time.Now().Add(requestTime))
+	c.since = time.Now()
+	until := c.since.Add(requestTime)
+	if !c.used {
+		until = c.accepted.Add(requestTime)
+	}
+	c.SetReadDeadline(until)
+}
+
+func (c *conn) got() {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	c.whole++
+	c.used = true
+	c.SetReadDeadline(time.Time{})
 }
 
 func (c *conn) end() {
 	c.s.mu.Lock()
-	c.open, c.since = c.open-1, time.Now()
-	c.s.mu.Unlock()
+	defer c.s.mu.Unlock()
+	c.open, c.whole = c.open-1, max(0, c.whole-1) // what could not be read was never whole
+	if c.open == 0 {
+		c.since = time.Now()
+		c.SetReadDeadline(c.since.Add(idleTime))
+	}
 }
 
 // incoming is a request, or what ended the reading.
@@ -200,16 +238,20 @@
 func (c *conn) read(in chan<- incoming, gone, done chan struct{}) {
 	r := NewRequestReader(c.s.Limits)
 	for {
+		w := &watched{c: c}
 		if !r.Idle() { // pipelined behind the one before
-			c.begin()
+			w.begin()
 		}
-		req, err := r.Read(watched{c, r})
-		if err != nil {
-			var bad *Error
-			// A pipelined request that stalls ends the connection, but its client waits for the one before.
-			if !errors.As(err, &bad) && !errors.Is(err, os.ErrDeadlineExceeded) {
-				close(gone)
-			}
+		req, err := r.Read(w)
+		var bad *Error
+		late := errors.Is(err, os.ErrDeadlineExceeded)
+		switch {
+		case err == nil:
+			c.got()
+		case late && !r.Idle():
+			err = &Error{408, "request took too long"}
+		case !late && !errors.As(err, &bad):
+			close(gone)
 		}
 		select {
 		case in <- incoming{req, err}:
@@ -219,21 +261,24 @@
 		if err != nil {
 			return
 		}
-		c.SetReadDeadline(time.Time{})
 	}
 }
 
-// watched notices a request's first byte.
+// watched notices a request's first byte, an empty line before it included.
 type watched struct {
-	c *conn
-	r *Reader
+	c     *conn
+	begun bool
+}
+
+func (w *watched) begin() {
+	w.begun = true
+	w.c.begin()
 }
 
-func (w watched) Read(p []byte) (int, error) {
-	idle := w.r.Idle()
+func (w *watched) Read(p []byte) (int, error) {
 	n, err := w.c.Conn.Read(p)
-	if n > 0 && idle {
-		w.c.begin()
+	if n > 0 && !w.begun {
+		w.begin()
 	}
 	return n, err
 }
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -24,6 +24,8 @@
 	f.Add([]byte{0, 5, 1, 2})
 	f.Add([]byte{6, 0, 1, 2, 5})
 	f.Add([]byte{0, 1, 4, 2, 5, 0})
+	f.Add([]byte{7, 7, 0, 7, 1, 2, 7, 5})
+	f.Add([]byte{0, 1, 0, 5, 2})
 	f.Fuzz(func(t *testing.T, steps []byte) {
 		synctest.Test(t, func(t *testing.T) { playServer(t, steps[:min(len(steps), 60)]) })
 	})
@@ -58,12 +60,12 @@
 		synctest.Wait()
 	}
 	begun, whole, handled, wantLeft := 0, 0, 0, 0 // requests begun, sent whole, answered
-	draining, stalled, open := false, false, true
+	draining, stalled, told, open := false, false, false, true
 	for _, step := range steps {
 		if !open {
 			break
 		}
-		switch step % 7 {
+		switch step % 8 {
 		case 0: // the first half of a request; two may be under way
 			if begun == whole && whole-handled < 2 && !stalled {
 				write(fmt.Sprintf("GET /%d HTTP/1.1\r\n", begun))
@@ -79,7 +81,10 @@
 				finish <- struct{}{}
 				synctest.Wait()
 				handled++
-				if open = !draining && !stalled; !open {
+				told = stalled && !draining && whole == handled
+				if open = !draining && (!stalled || whole > handled); !open {
+					time.Sleep(lingerTime)
+					synctest.Wait()
 					select {
 					case <-ended:
 					default:
@@ -97,15 +102,26 @@
 		case 4:
 			s.Drain()
 			draining = true
-		case 5: // half a request for longer than it may take
-			time.Sleep(requestTime + time.Second)
+		case 5: // half a request for longer than it may take, or a pause, which ends an idle connection
+			time.Sleep(requestTime + lingerTime)
 			synctest.Wait()
 			stalled = stalled || begun > whole
-			open = !stalled || whole > handled
-		case 6: // a pause is nothing to an idle connection
-			if begun == handled {
+			told = stalled && whole == handled
+			if open = whole > handled; !open {
+				select {
+				case <-ended:
+				default:
+					t.Fatalf("%v: still open after %v", steps, requestTime+lingerTime)
+				}
+			}
+		case 6: // a pause is nothing to what is being handled
+			if begun == whole && whole > handled {
 				time.Sleep(time.Hour)
 			}
+		case 7: // an empty line before a request is nothing, but has to be followed by one
+			if begun == handled {
+				write("\r\n")
+			}
 		}
 	}
 	close(finish)
@@ -127,6 +143,9 @@
 			t.Fatalf("%v: answer %d is %+v, %v", steps, i, m, err)
 		}
 	}
+	if m, err := r.Read(pos); told != (err == nil && m.Status == 408) {
+		t.Errorf("%v: at the end %+v, %v; told of the delay: %t", steps, m, err, told)
+	}
 }
 
 // Requests that cannot be read get their status, and the connection ends.
@@ -134,8 +153,15 @@
 	for text, want := range map[string]string{
 		"GET\r\n\r\n":            "HTTP/1.1 400 ",
 		"GET / HTTP/2.0\r\n\r\n": "HTTP/1.1 505 ",
-		"POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n":             "HTTP/1.1 413 ",
-		"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 300) + "\r\n": "HTTP/1.1 431 ",
+		"POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n":                                                                    "HTTP/1.1 413 ",
+		"POST / HTTP/1.1\r\nContent-Length: 3000000000\r\n\r\n":                                                            "HTTP/1.1 400 ",
+		"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n":                                                                    "HTTP/1.1 400 ",
+		"POST / HTTP/1.1\r\nContent-Length: 1, 2\r\n\r\n":                                                                  "HTTP/1.1 400 ",
+		"POST / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /hidden HTTP/1.1\r\n\r\n": "HTTP/1.1 400 ",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked, identity\r\nContent-Length: 0\r\n\r\n":                             "HTTP/1.1 400 ",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\n":                                                      "HTTP/1.1 400 ",
+		"\x16\x03\x01\x02\x00\x01\r\n\r\n":                                                                                 "HTTP/1.1 400 ",
+		"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 300) + "\r\n":                                                        "HTTP/1.1 431 ",
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			here, there := net.Pipe()
@@ -151,6 +177,42 @@
 	}
 }
 
+// A bad client gets an error or a close within 3 s of connecting, whatever it does: says nothing, sends half a
+// request, or sends a byte now and then without end.
+func TestBadClientsAreShortLived(t *testing.T) {
+	for _, tc := range []struct{ each, want string }{
+		{"", ""},
+		{"\r\n", ""}, // empty lines, which are let pass before a request
+		{"POST / HTTP/1.1\r\n", "HTTP/1.1 408 "},
+		{"POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n", "HTTP/1.1 408 "},
+		{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 408 "},
+		{"G", "HTTP/1.1 408 "},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			here, there := net.Pipe()
+			s := &Server{Limits: small, Handler: func(*Message, <-chan struct{}) *Message { panic("handled") }}
+			began := time.Now()
+			s.start(&conn{Conn: there, s: s})
+			go func() {
+				for text := tc.each; text != ""; time.Sleep(100 * time.Millisecond) {
+					if _, err := here.Write([]byte(text)); err != nil {
+						return
+					}
+					if text = text[:min(1, len(text))]; tc.each == "\r\n" {
+						text = tc.each
+					}
+				}
+			}()
+			got, _ := io.ReadAll(here)
+			if took := time.Since(began); !strings.HasPrefix(string(got), tc.want) || took > 3*time.Second {
+				t.Errorf("%q: %q after %v", tc.each, got, took)
+			}
+			s.Shutdown()
+			time.Sleep(time.Second)
+		})
+	}
+}
+
 // When the server is full, the longest idle connection makes room, and busy ones stay.
 func TestFullServerShedsIdle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -192,3 +254,52 @@
 		s.Shutdown()
 	})
 }
+
+// A flood of peers that say nothing, or half a request, displaces itself: not who has asked before, nor who is
+// being answered, nor what has only just begun.
+func TestFloodDisplacesItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var memory standin.Net
+		l := memory.Listen("s")
+		s := &Server{Limits: small, Conns: 12, Handler: func(req *Message, _ <-chan struct{}) *Message {
+			if req.Target == "/slow" {
+				time.Sleep(1900 * time.Millisecond)
+			}
+			return &Message{Status: 200}
+		}}
+		go s.Serve(l)
+		join := func(text string) net.Conn {
+			c, err := memory.Dial(context.Background(), "s")
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Write([]byte(text))
+			synctest.Wait()
+			return c
+		}
+		alive := func(c net.Conn) bool {
+			c.SetReadDeadline(time.Now().Add(time.Millisecond))
+			_, err := io.Copy(io.Discard, c)
+			return err != nil // else its end
+		}
+		idle, slow := join("GET / HTTP/1.1\r\n\r\n"), join("GET /slow HTTP/1.1\r\n\r\n")
+		alive(idle) // takes its answer
+		half := join("GET / HT")
+		var flood []net.Conn
+		for i := range 30 {
+			time.Sleep(stallTime / 10)
+			flood = append(flood, join([]string{"", "POST / "}[i%2]))
+			if i == 1 && !alive(half) {
+				t.Error("a request that has just begun was cut off")
+			}
+		}
+		if !alive(idle) || !alive(slow) || alive(half) || alive(flood[0]) {
+			t.Error("the flood did not displace itself")
+		}
+		for _, c := range append(flood, idle, slow, half) {
+			c.Close()
+		}
+		l.Close()
+		s.Shutdown()
+	})
+}
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -193,6 +193,8 @@
 	switch a := f.Owner.Ask(q, gone); a.Verdict {
 	case core.Refused:
 		return refusal(a.RetryIn), nil
+	case core.Invalid:
+		return nil, bad("illegal_argument_exception", "%s", a.Reason)
 	case core.Failed:
 		return failed("too few sections answered in time"), nil
 	default:
@@ -232,6 +234,8 @@
 	switch a := f.Owner.Ask(q, gone); a.Verdict {
 	case core.Refused:
 		return refusal(a.RetryIn), nil
+	case core.Invalid:
+		return nil, bad("illegal_argument_exception", "%s", a.Reason)
 	case core.Failed:
 		return failed("the report may or may not be stored"), nil
 	default:
--- a/internal/opensearch/nodes.go
+++ b/internal/opensearch/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/textproto"
 	"net/url"
@@ -27,11 +28,14 @@
 type Nodes struct {
 	Owner          core.Reporter
 	Config         *Config
+	Most           int // connections held at once; 0 for no limit
 	ConnectTimeout time.Duration
 	KeepAlive      time.Duration
 	Dial           http1.Dialer // nil for plain TCP
 
 	mu    sync.Mutex
+	slots chan struct{} // one taken for each connection in use; as many may be idle
+	idle  int
 	nodes map[string]*node
 	sends map[*core.Attempt]context.CancelFunc
 }
@@ -52,6 +56,9 @@
 	defer n.mu.Unlock()
 	if n.nodes == nil {
 		n.nodes, n.sends = map[string]*node{}, map[*core.Attempt]context.CancelFunc{}
+		if n.Most > 0 {
+			n.slots = make(chan struct{}, max(1, n.Most/2))
+		}
 	}
 	nd := n.nodes[to.ID]
 	if nd == nil {
@@ -62,7 +69,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		n.sends[at] = cancel
 		go func() {
-			outcome, value := n.send(ctx, nd, to.Address, at)
+			outcome, value := n.send(ctx, nd, to, at)
 			n.mu.Lock()
 			delete(n.sends, at)
 			n.mu.Unlock()
@@ -81,7 +88,7 @@
 	}
 }
 
-// Disconnect implements core.Caller.
+// Disconnect implements core.Caller. The node is forgotten: it may be gone.
 func (n *Nodes) Disconnect(id string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -89,10 +96,24 @@
 		for _, c := range nd.idle {
 			c.client.Close()
 		}
+		n.idle -= len(nd.idle)
 		nd.idle = nil
+		delete(n.nodes, id)
 	}
 }
 
+// keep holds a connection for the next request, unless its node is forgotten or there are enough.
+func (n *Nodes) keep(nd *node, id string, c *http1.Client) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.nodes[id] != nd || n.slots != nil && n.idle >= cap(n.slots) {
+		c.Close()
+		return
+	}
+	nd.idle = append(nd.idle, idleConn{c, time.Now()})
+	n.idle++
+}
+
 // Close ends all idle connections.
 func (n *Nodes) Close() {
 	n.mu.Lock()
@@ -107,19 +128,24 @@
 }
 
 // send makes one request and tells how it ended.
-func (n *Nodes) send(ctx context.Context, nd *node, address string, at *core.Attempt) (harepass.Outcome, []byte) {
-	select {
-	case nd.slots <- struct{}{}:
-		defer func() { <-nd.slots }()
-	case <-ctx.Done():
-		return harepass.Moot, nil
+func (n *Nodes) send(ctx context.Context, nd *node, to core.Node, at *core.Attempt) (harepass.Outcome, []byte) {
+	for _, slots := range []chan struct{}{nd.slots, n.slots} {
+		if slots == nil {
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+		case <-ctx.Done():
+			return harepass.Moot, nil
+		}
 	}
 	req, ok := n.request(at)
 	if !ok {
 		return harepass.Moot, nil
 	}
-	req.Header.Set("Host", address)
-	c, err := n.connect(ctx, nd, address)
+	req.Header.Set("Host", to.Address)
+	c, err := n.connect(ctx, nd, to.Address)
 	if err != nil {
 		if ctx.Err() != nil {
 			return harepass.Moot, nil
@@ -127,17 +153,18 @@
 		return harepass.ConnectFailed, nil
 	}
 	m, written, err := c.Do(ctx, req)
+	var spoilt *http1.Error
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return harepass.Cancelled, nil
+	case errors.As(err, &spoilt): // the node runs and has answered, if not to be read: no broken connection
+		return harepass.Errored, nil
 	case err != nil && !written:
 		return harepass.ConnectFailed, nil
 	case err != nil:
 		return harepass.Reset, nil
 	}
-	n.mu.Lock()
-	nd.idle = append(nd.idle, idleConn{c, time.Now()})
-	n.mu.Unlock()
+	n.keep(nd, to.ID, c)
 	return outcome(m, at.Origin != nil)
 }
 
@@ -152,6 +179,7 @@
 		}
 		c := nd.idle[last]
 		nd.idle = nd.idle[:last]
+		n.idle--
 		n.mu.Unlock()
 		if c.client.Address == address && time.Since(c.since) < time.Duration(float64(n.KeepAlive)*idleShare) && c.client.Alive() {
 			return c.client, nil
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"harepass/internal/core"
 	"harepass/internal/http1"
@@ -21,10 +22,10 @@
 
 type queryBody struct {
 	Slices []struct {
-		Slice int     `json:"slice"`
-		Mass  float64 `json:"mass"`
+		Slice *int     `json:"slice"`
+		Mass  *float64 `json:"mass"`
 	} `json:"slices"`
-	Filter string `json:"filter"`
+	Filter *string `json:"filter"`
 }
 
 type answerBody struct {
@@ -73,6 +74,8 @@
 		return m
 	case core.Failed:
 		return text(500, "failed")
+	case core.Invalid:
+		return text(400, a.Reason)
 	}
 	body := answerBody{Entire: a.Whole, Items: []item{}}
 	for i, v := range a.Values {
@@ -87,47 +90,57 @@
 	return &http1.Message{Status: 200, Header: textproto.MIMEHeader{"Content-Type": {"application/json"}}, Body: data}
 }
 
+// headers are those of a query; each stands once at most.
+var headers = []string{"X-Call-Id", "X-Call-Class", "X-Caller", "X-Budget", "X-Again"}
+
+// parse reads what this protocol alone words; what any query has to be is for the core to check.
 func (f *Front) parse(req *http1.Message) (*core.Query, error) {
+	for _, h := range headers {
+		if len(req.Header[h]) > 1 {
+			return nil, fmt.Errorf("%s more than once", h)
+		}
+	}
 	q := &core.Query{ID: req.Header.Get("X-Call-Id"), Class: req.Header.Get("X-Call-Class"),
 		Tenant: req.Header.Get("X-Caller"), Retry: req.Header.Get("X-Again") == "1"}
-	if q.ID == "" || strings.ContainsAny(q.ID, " \t") {
-		return nil, fmt.Errorf("bad X-Call-Id")
-	}
 	budget, err := parseBudget(req.Header.Get("X-Budget"))
 	if err != nil {
 		return nil, err
 	}
 	q.Until = f.Clock() + budget
 	var body queryBody
+	if !utf8.Valid(req.Body) { // decoding would change the text that the parts carry
+		return nil, fmt.Errorf("bad body: not UTF-8")
+	}
 	if err := json.Unmarshal(req.Body, &body); err != nil {
 		return nil, fmt.Errorf("bad body: %w", err)
 	}
-	if len(body.Slices) == 0 {
-		return nil, fmt.Errorf("no slices")
+	if body.Filter == nil {
+		return nil, fmt.Errorf("no filter")
 	}
-	q.Text = []byte(body.Filter)
-	seen := map[int]bool{}
+	q.Text = []byte(*body.Filter)
 	for _, s := range body.Slices {
-		if s.Slice < 0 || s.Mass < 0 || seen[s.Slice] {
-			return nil, fmt.Errorf("bad slice %d", s.Slice)
+		if s.Slice == nil || s.Mass == nil {
+			return nil, fmt.Errorf("a slice without its number or mass")
 		}
-		seen[s.Slice] = true
-		q.Parts = append(q.Parts, core.Part{Shard: s.Slice, Weight: s.Mass})
+		q.Parts = append(q.Parts, core.Part{Shard: *s.Slice, Weight: *s.Mass})
 	}
 	return q, nil
 }
 
+const longestBudget = time.Hour
+
 // parseBudget reads a number followed by m for milliseconds or u for microseconds.
 func parseBudget(s string) (time.Duration, error) {
 	units := map[byte]time.Duration{'m': time.Millisecond, 'u': time.Microsecond}
-	if s == "" || units[s[len(s)-1]] == 0 {
-		return 0, fmt.Errorf("bad X-Budget %q", s)
+	if s == "" || units[s[len(s)-1]] == 0 || strings.Trim(s[:len(s)-1], "0123456789.") != "" {
+		return 0, fmt.Errorf("bad X-Budget %.40q", s)
 	}
+	unit := float64(units[s[len(s)-1]])
 	n, err := strconv.ParseFloat(s[:len(s)-1], 64)
-	if err != nil || !(n >= 0 && n <= 1e12) {
-		return 0, fmt.Errorf("bad X-Budget %q", s)
+	if err != nil || n*unit > float64(longestBudget) {
+		return 0, fmt.Errorf("bad X-Budget %.40q", s)
 	}
-	return time.Duration(n * float64(units[s[len(s)-1]])), nil
+	return time.Duration(n * unit), nil
 }
 
 func text(status int, words string) *http1.Message {
--- a/internal/platform/front_test.go
+++ b/internal/platform/front_test.go
@@ -27,6 +27,8 @@
 		t.Fatal(err)
 	}
 	f := &Front{Owner: owner, Clock: core.SystemClock()}
+	twice := request("POST", "/api", "", "X-Call-Id", "a")
+	twice.Header.Add("X-Call-Id", "b")
 	good := `{"slices":[{"slice":1,"mass":1}],"filter":"f"}`
 	for _, tc := range []struct {
 		req    *http1.Message
@@ -38,16 +40,25 @@
 		{request("POST", "/health/ready", ""), 405, "method"},
 		{request("GET", "/health/live", ""), 200, "ok"},
 		{request("GET", "/health/ready", ""), 503, "starting"},
-		{request("POST", "/api", good, "X-Budget", "1m"), 400, "X-Call-Id"},
-		{request("POST", "/api", good, "X-Call-Id", "a b", "X-Budget", "1m"), 400, "X-Call-Id"},
+		{request("POST", "/api", good, "X-Budget", "1m"), 400, "bad id"},
+		{request("POST", "/api", good, "X-Call-Id", "a b", "X-Budget", "1m"), 400, "bad id"},
 		{request("POST", "/api", good, "X-Call-Id", "a"), 400, "X-Budget"},
 		{request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "5s"), 400, "X-Budget"},
 		{request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "-5m"), 400, "X-Budget"},
 		{request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "NaNm"), 400, "X-Budget"},
 		{request("POST", "/api", `{"slices":[`, "X-Call-Id", "a", "X-Budget", "1m"), 400, "bad body"},
-		{request("POST", "/api", `{}`, "X-Call-Id", "a", "X-Budget", "1m"), 400, "no slices"},
-		{request("POST", "/api", `{"slices":[{"slice":-1}]}`, "X-Call-Id", "a", "X-Budget", "1m"), 400, "bad slice"},
-		{request("POST", "/api", `{"slices":[{"slice":1},{"slice":1}]}`, "X-Call-Id", "a", "X-Budget", "1m"), 400, "bad slice"},
+		{request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "1e3m"), 400, "X-Budget"},
+		{request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "0m", "X-Call-Class", "c"), 400, "no time"},
+		{request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "99999999999999999m"), 400, "X-Budget"},
+		{request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "1m", "X-Call-Class", "d"), 400, "unknown class"},
+		{request("POST", "/api", `{}`, "X-Call-Id", "a", "X-Budget", "1m"), 400, "no filter"},
+		{request("POST", "/api", `{"filter":"f"}`, "X-Call-Id", "a", "X-Budget", "1000m", "X-Call-Class", "c"), 400, "no parts"},
+		{request("POST", "/api", "{\"slices\":[],\"filter\":\"\xff\"}", "X-Call-Id", "a", "X-Budget", "1m"), 400, "UTF-8"},
+		{request("POST", "/api", `{"slices":[{"mass":1}],"filter":"f"}`, "X-Call-Id", "a", "X-Budget", "1m"), 400, "without its number"},
+		{request("POST", "/api", `{"slices":[{"slice":1.5,"mass":1}],"filter":"f"}`, "X-Call-Id", "a", "X-Budget", "1m"), 400, "bad body"},
+		{request("POST", "/api", `{"slices":[{"slice":-1,"mass":1}],"filter":"f"}`, "X-Call-Id", "a", "X-Budget", "1000m", "X-Call-Class", "c"), 400, "unknown shard"},
+		{request("POST", "/api", `{"slices":[{"slice":1,"mass":0.5},{"slice":1,"mass":0.5}],"filter":"f"}`, "X-Call-Id", "a", "X-Budget", "1000m", "X-Call-Class", "c"), 400, "twice"},
+		{twice, 400, "more than once"},
 	} {
 		m := f.Handle(tc.req, nil)
 		if m.Status != tc.status || !strings.Contains(string(m.Body), tc.want) {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -22,8 +22,9 @@
 const Scheme = "frame"
 
 const (
-	idleShare = 0.8 // of the time after which nodes close idle connections: later ones are not trusted
-	pastIDs   = 256 // settled ids that a connection remembers: a late answer or a second copy is no fault
+	idleShare = 0.8              // of the time after which nodes close idle connections: later ones are not trusted
+	keepAlive = 10 * time.Second // where the settings leave it out
+	pastIDs   = 256              // settled ids that a connection remembers: a late answer or a second copy is no fault
 )
 
 // Nodes speaks frames to data nodes. It is a core.Caller.
@@ -105,7 +106,7 @@
 	var least *nodeConn
 	for _, c := range slices.Clone(n.conns[node.ID]) {
 		switch {
-		case c.calls == 0 && (c.address != node.Address || time.Since(c.used) > time.Duration(float64(n.KeepAlive)*idleShare)):
+		case c.calls == 0 && (c.address != node.Address || time.Since(c.used) > n.trusted()):
 			c.shut()
 		case c.address == node.Address && (least == nil || c.calls < least.calls):
 			least = c
@@ -120,6 +121,14 @@
 	return c
 }
 
+// trusted is how long an idle connection is used again, and kept.
+func (n *Nodes) trusted() time.Duration {
+	if n.KeepAlive <= 0 {
+		return keepAlive
+	}
+	return time.Duration(float64(n.KeepAlive) * idleShare)
+}
+
 // full tells, under the lock, that no connection may be opened; the idle ones make way before that.
 func (n *Nodes) full() bool {
 	held := 0
@@ -382,28 +391,30 @@
 			}
 		}
 		switch {
-		case b.Len() == 0:
-			conn.SetReadDeadline(time.Time{})
-		case c.idle(): // nobody waits for it, and it would spoil the next answer
+		case b.Len() == 0: // a look now and then whether it is of use still
+			conn.SetReadDeadline(time.Now().Add(c.nodes.trusted()))
+		case c.idle(0): // nobody waits for it, and it would spoil the next answer
 			return
 		case !begun:
 			begun = true
 			conn.SetReadDeadline(time.Now().Add(c.nodes.ConnectTimeout))
 		}
-		if _, err := b.Fill(conn); errors.Is(err, os.ErrDeadlineExceeded) {
+		_, err := b.Fill(conn)
+		switch late := errors.Is(err, os.ErrDeadlineExceeded); {
+		case late && b.Len() > 0:
 			c.spoil(b.Bytes(), errors.New("platform: frame does not end"))
 			return
-		} else if err != nil {
+		case err != nil && (!late || c.idle(c.nodes.trusted())):
 			return
 		}
 	}
 }
 
-// idle tells that no answer is awaited.
-func (c *nodeConn) idle() bool {
+// idle tells that no answer has been awaited for a time.
+func (c *nodeConn) idle(since time.Duration) bool {
 	c.nodes.mu.Lock()
 	defer c.nodes.mu.Unlock()
-	return len(c.out) == 0
+	return len(c.out) == 0 && time.Since(c.used) >= since
 }
 
 // frame handles one frame; false means that the connection is of no more use. behind tells that more has
--- a/internal/platform/nodes_test.go
+++ b/internal/platform/nodes_test.go
@@ -345,6 +345,49 @@
 	}
 }
 
+// There are only so many connections in all: an idle one makes way, and where none is idle calls wait at a node
+// that has one already. What nobody uses any more closes by itself, so that nodes long gone leave nothing.
+func TestConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &player{t: t, ended: map[*core.Attempt][]harepass.Outcome{}}
+		p.nodes = &Nodes{Owner: p, Streams: 1, Most: 2, ConnectTimeout: time.Second, KeepAlive: 30 * time.Second, Dial: p.dial}
+		call := func(node string) {
+			p.nodes.Call(core.Node{Replica: harepass.Replica{ID: node}, Address: node},
+				[]*core.Attempt{{Query: fmt.Sprint(p.conns, len(p.frames)), Node: node}})
+			synctest.Wait()
+		}
+		held := func() (n int) {
+			for _, list := range p.nodes.conns {
+				n += len(list)
+			}
+			return n
+		}
+		call("a")
+		p.send(appendFrame(nil, frameAnswer, []byte(p.frames[0][1:]+" S 0 -\nv")), 99)
+		call("b")
+		if call("b"); held() != 2 || p.conns != 3 || len(p.nodes.conns["a"]) != 0 {
+			t.Errorf("%d connections of %d opened: the idle one did not make way", held(), p.conns)
+		}
+		if call("b"); held() != 2 || len(p.frames) != 4 {
+			t.Errorf("%d connections and %d frames: a call of a busy node did not wait there", held(), len(p.frames))
+		}
+		if call("c"); held() != 3 {
+			t.Errorf("%d connections: a node has none", held())
+		}
+		for _, id := range p.frames[4:] {
+			p.send(appendFrame(nil, frameAnswer, []byte(id[1:]+" S 0 -\nv")), 99)
+		}
+		if time.Sleep(time.Minute); len(p.nodes.conns["c"]) != 0 || held() != 2 {
+			t.Errorf("connections %v after a minute", p.nodes.conns)
+		}
+		p.nodes.Close()
+		synctest.Wait()
+		if len(p.nodes.conns) > 0 || len(p.nodes.sends) > 0 {
+			t.Errorf("%d nodes and %d sends remain", len(p.nodes.conns), len(p.nodes.sends))
+		}
+	})
+}
+
 // An answer goes to the attempt of its part that is still wanted, not to an earlier one at the same node
 // whose giving up waits to be written.
 func TestAnswerOfARepeatedPart(t *testing.T) {
