Forget replicas, kinds of query and hosts that are gone

From reading: onList never removed a replica and keepList's callers kept every host that was ever named. The module drops a replica a minute after it has gone with nothing out, and kinds of query a minute after their time; within the minute it comes back as what it was.

--- a/aggregator.go
+++ b/aggregator.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -59,6 +60,7 @@
 )
 
 const refillEvery, never = time.Second, 24 * time.Hour // the first is the design's value
+const keepGone = time.Minute                           // so long what is gone may come back as what it was
 
 // New checks the settings and returns an Aggregator with nothing in hand.
 func New(seed uint64, s Settings) (*Aggregator, error) {
@@ -178,6 +180,7 @@
 		}
 		a.idleLimit = min(scale(a.idleLimit, idleGrow), never)
 		a.withinBudget() // forgets what is past its window
+		a.forget()
 		for _, c := range a.classes {
 			c.measure()
 		}
@@ -962,13 +965,32 @@
 		}
 		r.Replica = e
 	}
-	if ev.Scope != ListChanges {
+	for _, r := range a.replicas {
+		if ev.Scope != ListChanges && !listed[r.ID] {
+			r.State = Gone
+		}
+		if r.State == Gone && r.goneAt == 0 {
+			r.goneAt = a.now
+		} else if r.State != Gone {
+			r.goneAt = 0
+		}
+	}
+}
+
+// forget drops replicas and kinds of query that are long over, for a long life brings ever new ones.
+func (a *Aggregator) forget() {
+	over := func(r *replica) bool {
+		return r.State == Gone && len(r.out) == 0 && a.now-max(r.goneAt, r.usedAt) > keepGone
+	}
+	if slices.ContainsFunc(a.replicas, over) {
 		for _, r := range a.replicas {
-			if !listed[r.ID] {
-				r.State = Gone
+			if r.siblings = slices.DeleteFunc(r.siblings, over); over(r) {
+				delete(a.byID, r.ID)
 			}
 		}
+		a.replicas = slices.DeleteFunc(a.replicas, over)
 	}
+	maps.DeleteFunc(a.kinds, func(_ string, k kind) bool { return a.now-k.until > keepGone })
 }
 
 // keepList subscribes where the list must be asked for, again after each refusal.
--- a/internal/inventory/keeper.go
+++ b/internal/inventory/keeper.go
@@ -22,9 +22,9 @@
 	nodes map[string]core.Node
 }
 
-// Read reads the file and returns all nodes ever named, those no longer in it as draining. A host that a
-// later reading brings, or brings back, may just have been started, so it counts as started now. After an
-// error the list is what it was.
+// Read reads the file and returns all nodes in it, and as draining those that the reading before had and this
+// one has not; after that they are forgotten. A host that a later reading brings, or brings back, may just have
+// been started, so it counts as started now. After an error the list is what it was.
 func (k *Keeper) Read(now time.Duration) ([]core.Node, error) {
 	hosts, err := Load(k.Path, k.Group, k.Cells)
 	if err != nil {
@@ -32,8 +32,10 @@
 	}
 	next := map[string]core.Node{}
 	for id, n := range k.nodes {
-		n.State = harepass.Draining
-		next[id] = n
+		if n.State == harepass.Ready {
+			n.State = harepass.Draining
+			next[id] = n
+		}
 	}
 	for _, h := range hosts {
 		n := core.Node{Replica: harepass.Replica{ID: h.Name, Cell: h.Cell, Zone: h.Zone}, Address: h.Address, Scheme: h.API}
--- a/state.go
+++ b/state.go
@@ -94,6 +94,7 @@
 	lostIdle  time.Duration // how long its connection had been unused before it became a suspect
 	restarted bool          // connections failed: what returns may be a new, cold process
 
+	goneAt     time.Duration // since when it is listed as gone; 0 if it is not
 	coldFrom   time.Duration // its last start, listed or inferred; 0 for long ago
 	coldTokens float64
 	coldAt     time.Duration
