One broken connection makes no replica a suspect or cold, nor other queries wait

Excluded: CPU (0.24 s in the worst second), memory, descriptors, parts turned away (0). Cause, in aggregator.go: judge took each Reset for a dead process, so that its replica was a suspect until three trials had gone well and then cold for its whole warm-up, with a budget of parts; and onEnded set scoutUntil on each Reset, so that for a deadline all queries sent part by part, though without keys they are no kin of the one that lost a connection. A process that died refuses the next connection, which is told (ConnectFailed, unchanged). Now all resets of one connection count as one fault, the second one without an answer between makes a suspect, only kin of a query goes part by part, and a replica is cold after a reset only if nothing was tried for longer than a first pause, twice.

--- a/aggregator.go
+++ b/aggregator.go
@@ -733,7 +733,9 @@
 		p.q.cleared = true
 		delete(a.kinds, p.q.Key)
 	case ev.Outcome == Reset && !slices.Contains(p.q.died, at.r):
-		a.scoutUntil = max(a.scoutUntil, a.now+p.q.cls.Deadline)
+		if p.q.Key != "" { // else the next queries are no kin of this one
+			a.scoutUntil = max(a.scoutUntil, a.now+p.q.cls.Deadline)
+		}
 		p.q.died = append(p.q.died, at.r)
 	}
 	if p.q.closed || !slices.Contains(p.q.parts, p) {
@@ -764,6 +766,13 @@
 		r.errors, r.fulls, r.faults[c.idx], r.barred[c.idx] = 0, 0, 0, 0
 		c.seen[c.seenN%seenSize] = took
 		c.seenN++
+		if r.restarted && !r.suspect && at.sent >= r.resetAt { // it lost a connection, or was long away
+			if r.restarted = false; at.sent-r.resetAt > 2*a.firstPause() {
+				a.chill(r, a.now)
+			} else if r.lostIdle >= a.firstPause() {
+				a.idleLimit = min(a.idleLimit, r.lostIdle)
+			}
+		}
 		if r.suspect && !a.unused(r, at) {
 			if took > backFactor*c.base*usual(r.siblings)/a.ramp(r) {
 				a.doubt(r, at)
@@ -783,12 +792,15 @@
 		r.fullUntil = a.now + scale(c.Aim, min(1, fullPause*float64(r.fulls)))
 		r.atLeast(c, c.Aim.Seconds()) // a full queue cannot meet the aim, and is load
 		c.base += baseGain * max(0, c.Aim.Seconds()-c.base)
-	case ConnectFailed, Reset:
-		if r.lostIdle = 0; ev.Outcome == Reset {
-			r.lostIdle = at.idle
-		}
-		r.restarted, r.failing, r.failedAt = true, true, a.now
+	case ConnectFailed: // nobody is there; who comes back may be a new process
+		r.lostIdle, r.restarted, r.failing, r.failedAt = 0, true, true, a.now
 		a.doubt(r, at)
+	case Reset: // one connection broke with all that was on it: if the process died, it refuses the next one
+		if at.sent >= r.resetAt {
+			r.resetAt, r.lostIdle, r.restarted = a.now, at.idle, true
+			r.failing, r.failedAt = r.errors > 0, a.now
+			a.fault(r, at)
+		}
 	case Errored:
 		r.failing, r.failedAt, r.errorAt = r.errors > 0, a.now, a.now
 		a.fault(r, at)
--- a/state.go
+++ b/state.go
@@ -89,6 +89,7 @@
 	fullUntil time.Duration
 	failing   bool // it fails at once, rather than being slow or silent
 	failedAt  time.Duration
+	resetAt   time.Duration // when a connection to it was last found broken
 	errorAt   time.Duration // when it last answered with an error
 	usedAt    time.Duration // when a part was last sent to it or ended there
 	lostIdle  time.Duration // how long its connection had been unused before it became a suspect
