--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -24,7 +24,15 @@
 const (
 	idleShare = 0.8              // of the time after which nodes close idle connections: later ones are not trusted
 	keepAlive = 10 * time.Second // where the settings leave it out
-	pastIDs   = 256              // settled ids that a connection remembers: a late answer or a second copy is no fault
+
+	// Connections fall silent without a word, while their node answers on others. One on which answers have been
+	// awaited for quietTime gets no new calls while there are fewer than quietMost like it, and is closed once
+	// quietProof later calls have been answered on others.
+	quietTime  = 100 * time.Millisecond
+	quietMost  = 4
+	quietProof = 4
+
+	pastIDs = 256 // settled ids that a connection remembers: a late answer or a second copy is no fault
 )
 
 // Nodes speaks frames to data nodes. It is a core.Caller.
@@ -56,6 +64,7 @@
 	id      string
 	call    *nodeCall
 	state   sendState
+	sent    time.Time // when it was written
 	givenUp bool
 }
 
@@ -76,8 +85,10 @@
 	past    []string // ids that were settled here, the latest last
 	calls   int
 	used    time.Time
+	heard   time.Time // when an answer came last
+	proof   int       // calls answered elsewhere while this one was quiet
 	closed  bool
-	spoilt  bool     // by an answer that cannot be read
+	spoilt  bool     // closed by us: an answer cannot be read, or none comes any more
 	guilty  *sending // whose answer that was, if that can be told
 	c       net.Conn // set once connected
 }
@@ -103,15 +114,25 @@
 	if n.conns == nil {
 		n.conns, n.sends = map[string][]*nodeConn{}, map[*core.Attempt]*sending{}
 	}
-	var least *nodeConn
+	var least, quiet *nodeConn
+	quiets := 0
 	for _, c := range slices.Clone(n.conns[node.ID]) {
 		switch {
 		case c.calls == 0 && (c.address != node.Address || time.Since(c.used) > n.trusted()):
 			c.shut()
-		case c.address == node.Address && (least == nil || c.calls < least.calls):
+		case c.address != node.Address:
+		case c.quiet() > quietTime:
+			quiets++
+			if quiet == nil || c.calls < quiet.calls {
+				quiet = c
+			}
+		case least == nil || c.calls < least.calls:
 			least = c
 		}
 	}
+	if least == nil && (quiets >= quietMost || quiets > 0 && n.full()) {
+		least = quiet
+	}
 	if least != nil && (least.calls < max(1, n.Streams) || n.full()) {
 		return least
 	}
@@ -158,8 +179,12 @@
 		return
 	}
 	s.givenUp = true
-	for _, c := range n.conns[at.Node] {
-		if slices.Contains(c.out, s) {
+	for _, c := range slices.Clone(n.conns[at.Node]) {
+		switch {
+		case !slices.Contains(c.out, s):
+		case s.state == written && c.heard.Before(s.sent) && time.Since(s.sent) > quietTime:
+			c.discard() // the word might never be read, and the part run twice at once
+		default:
 			c.enqueue(&nodeCall{giveUp: s})
 		}
 	}
@@ -219,6 +244,36 @@
 	c.signal()
 }
 
+// discard closes the connection, under the lock, so that what is out on it is taken back.
+func (c *nodeConn) discard() {
+	c.spoilt = true
+	c.shut()
+}
+
+// quiet is for how long answers have been awaited and none has come, under the lock.
+func (c *nodeConn) quiet() time.Duration {
+	i := slices.IndexFunc(c.out, func(s *sending) bool { return s.state == written })
+	if i < 0 {
+		return 0
+	}
+	if since := c.out[i].sent; since.After(c.heard) {
+		return time.Since(since)
+	}
+	return time.Since(c.heard)
+}
+
+// hear notes an answer, under the lock, and what it says of the node's other connections.
+func (c *nodeConn) hear(s *sending) {
+	c.heard, c.proof = time.Now(), 0
+	for _, o := range slices.Clone(c.nodes.conns[c.node]) {
+		if q := o.quiet(); o != c && q > quietTime && time.Since(s.sent) < q {
+			if o.proof++; o.proof >= quietProof {
+				o.discard()
+			}
+		}
+	}
+}
+
 // settle ends an attempt, under the lock, and returns what the owner is to be told.
 func (c *nodeConn) settle(s *sending) {
 	c.out = slices.DeleteFunc(c.out, func(o *sending) bool { return o == s })
@@ -332,7 +387,7 @@
 			if n == len(frame) {
 				c.nodes.mu.Lock()
 				for _, s := range parts {
-					s.state = written
+					s.state, s.sent = written, time.Now()
 				}
 				c.nodes.mu.Unlock()
 			}
@@ -436,6 +491,7 @@
 			return true
 		}
 		c.nodes.mu.Lock()
+		c.hear(s)
 		useless := behind && len(c.out) == 1
 		if useless { // what comes behind the last answer is spoilt: no call may be sent after it
 			c.shut()
@@ -472,8 +528,8 @@
 	if guilty == nil && len(written) == 1 {
 		guilty = written[0]
 	}
-	c.spoilt, c.guilty = true, guilty
-	c.shut()
+	c.guilty = guilty
+	c.discard()
 }
 
 // find is the attempt that an answer belongs to: the part's first that is written and not given up, or
