Pass over node connections that fall silent, and close them on proof

Excluded: CPU (0.25 s), descriptors, node health (12 nodes used, no errors). Cause, in nodes.go: conn() went on giving calls to the silent connection, up to 32 at once, and Abandon wrote frame 2 on it, which nobody read, so that the part's next attempt was a second copy. Now a connection on which answers have been awaited for 100 ms gets no new calls (four such to a node at most), it is closed once four later calls have been answered on others, and giving up an attempt on a connection not heard since it was written closes it instead of writing the word.

--- a/internal/platform/nodes_test.go
+++ b/internal/platform/nodes_test.go
@@ -53,6 +53,7 @@
 	gate   *gate
 	refuse bool
 	conns  int
+	peers  []net.Conn // the node's ends, in order
 }
 
 func (p *player) Ended(at *core.Attempt, o harepass.Outcome, _ []byte) {
@@ -69,6 +70,7 @@
 	p.gate = &gate{Conn: here, open: make(chan struct{}), broken: make(chan struct{})}
 	close(p.gate.open)
 	p.node = there
+	p.peers = append(p.peers, there)
 	p.conns++
 	go func() {
 		for {
@@ -345,6 +347,91 @@
 	}
 }
 
+// A connection falls silent without a word. New calls go on another one, a few such at most; when later calls have been
+// answered there, what is out on the silent one is taken back. An attempt given up on it ends it, for the word
+// might never be read while the part runs elsewhere; on one that was heard since, the word is sent.
+func TestSilentConnections(t *testing.T) {
+	const late = quietTime + time.Millisecond
+	for _, tc := range []struct {
+		name string
+		play func(p *player, call func(), answer func(i int), abandon func(i int))
+		want string
+	}{
+		{"passed over, then closed on proof", func(p *player, call func(), answer, abandon func(int)) {
+			call()
+			time.Sleep(late)
+			for i := 1; i <= quietProof; i++ {
+				call()
+				p.node = p.peers[1]
+				answer(i)
+			}
+		}, "2 connections, frames [1q0.0 1q1.0 1q2.0 1q3.0 1q4.0], ended [[6] [0] [0] [0] [0]]"},
+		{"no proof: what was answered was sent before the silence", func(p *player, call func(), answer, abandon func(int)) {
+			call()
+			time.Sleep(late)
+			for range quietProof {
+				call()
+			}
+			p.node = p.peers[0]
+			answer(0)
+			call()
+			time.Sleep(late)
+			p.node = p.peers[1]
+			for i := 1; i <= quietProof; i++ {
+				answer(i)
+			}
+		}, "2 connections, frames [1q0.0 1q1.0 1q2.0 1q3.0 1q4.0 1q5.0], ended [[0] [0] [0] [0] [0] []]"},
+		{"a node that is silent everywhere", func(p *player, call func(), answer, abandon func(int)) {
+			for range quietMost + 3 {
+				call()
+				time.Sleep(late)
+			}
+		}, "4 connections, frames [1q0.0 1q1.0 1q2.0 1q3.0 1q4.0 1q5.0 1q6.0], ended [[] [] [] [] [] [] []]"},
+		{"given up in silence", func(p *player, call func(), answer, abandon func(int)) {
+			call()
+			call()
+			time.Sleep(late)
+			abandon(0)
+			call()
+		}, "2 connections, frames [1q0.0 1q1.0 1q2.0], ended [[6] [6] []]"},
+		{"given up early, and after another answer", func(p *player, call func(), answer, abandon func(int)) {
+			call()
+			call()
+			call()
+			abandon(0)
+			time.Sleep(late)
+			answer(1)
+			abandon(2)
+			call()
+		}, "1 connections, frames [1q0.0 1q1.0 1q2.0 2q0.0 2q2.0 1q3.0], ended [[6] [0] [6] []]"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p := &player{t: t, ended: map[*core.Attempt][]harepass.Outcome{}}
+			p.nodes = &Nodes{Owner: p, Streams: 32, ConnectTimeout: time.Second, KeepAlive: 30 * time.Second, Dial: p.dial}
+			var all []*core.Attempt
+			tc.play(p, func() {
+				all = append(all, &core.Attempt{Query: fmt.Sprint("q", len(all)), Node: "n"})
+				p.nodes.Call(core.Node{Replica: harepass.Replica{ID: "n"}, Address: "n"}, all[len(all)-1:])
+				synctest.Wait()
+			}, func(i int) {
+				p.send(appendFrame(nil, frameAnswer, fmt.Appendf(nil, "q%d.0 S 7 -\nv", i)), 99)
+			}, func(i int) {
+				p.nodes.Abandon(all[i])
+				synctest.Wait()
+			})
+			var ended [][]harepass.Outcome
+			for _, at := range all {
+				ended = append(ended, p.ended[at])
+			}
+			if got := fmt.Sprintf("%d connections, frames %v, ended %v", p.conns, p.frames, ended); got != tc.want {
+				t.Errorf("%s:\n got %s\nwant %s", tc.name, got, tc.want)
+			}
+			p.nodes.Close()
+			synctest.Wait()
+		})
+	}
+}
+
 // There are only so many connections in all: an idle one makes way, and where none is idle calls wait at a node
 // that has one already. What nobody uses any more closes by itself, so that nodes long gone leave nothing.
 func TestConnectionsAreBounded(t *testing.T) {
