Parts that may not run twice avoid replicas that keep one of their class unanswered

Temporary log lines of every outcome: for 10 s 4 of 10 nodes leave half or more of their hazard reports without an answer (64 time-outs, more taken back on their connections) and serve the other classes, while each section has a sound holder. The module barred a class only after two in a row, for 0.8 s, and a served part in between ended that. Now, by class, a part that may not run twice goes to no replica that holds one for long or lost one lately, while another can take it.

--- a/aggregator.go
+++ b/aggregator.go
@@ -581,12 +581,19 @@
 // the ready ones, then, since health never empties the choice, any listed: the failing last, after a pause.
 func (a *Aggregator) pick(p *part, second bool) *replica {
 	s := a.shardOf(p.Shard)
-	fresh := func(r *replica) bool { return r.ready() && a.now >= r.barred[p.q.cls.idx] && !p.tried(r) }
-	if p.q.cls.Repeat == SingleShot { // an error loses such a part for good, and errors come in runs
-		if r := a.draw(p, s, func(r *replica) bool {
-			return fresh(r) && (r.errorAt == 0 || a.now >= r.errorAt+scale(a.tightest, waryFor))
-		}); r != nil {
-			return r
+	c := p.q.cls
+	fresh := func(r *replica) bool { return r.ready() && a.now >= r.barred[c.idx] && !p.tried(r) }
+	if c.Repeat == SingleShot { // an error or silence loses such a part for good, and they come in runs
+		wary := scale(a.tightest, waryFor)
+		trusted := func(r *replica) bool { // with this class
+			lost := r.lostAt[c.idx]
+			return fresh(r) && !a.stuck(r, c) && (lost == 0 || a.now >= lost+scale(wary, float64(1+r.faults[c.idx])))
+		}
+		sound := func(r *replica) bool { return trusted(r) && (r.errorAt == 0 || a.now >= r.errorAt+wary) }
+		for _, ok := range []func(*replica) bool{sound, trusted} {
+			if r := a.draw(p, s, ok); r != nil {
+				return r
+			}
 		}
 	}
 	for i, ok := range []func(*replica) bool{
@@ -602,6 +609,13 @@
 	return nil
 }
 
+// stuck tells whether a replica has kept a part for too long: it may leave just those unanswered.
+func (a *Aggregator) stuck(r *replica, c *class) bool {
+	return slices.ContainsFunc(r.out, func(at *attempt) bool {
+		return at.part.q.cls == c && !at.excused && a.now-at.sent > a.late(r, c, 1, hedgeFactor)
+	})
+}
+
 // draw runs the query's race: a part takes the replica of least exponential variate / share. That draws by
 // the shares, and parts of one query meet where they can. Replicas busier than the least busy are skipped.
 func (a *Aggregator) draw(p *part, s *shard, ok func(*replica) bool) *replica {
@@ -806,7 +820,11 @@
 		a.fault(r, at)
 		a.bar(r, c)
 	case TimedOut, Cancelled:
-		switch long := ev.Took >= a.late(r, c, silentFactor, slowFactor) && !at.excused && !a.heldUp; {
+		long := ev.Took >= a.late(r, c, silentFactor, slowFactor) && !at.excused && !a.heldUp
+		if long {
+			r.lostAt[c.idx] = a.now
+		}
+		switch {
 		case at.trial && at.off:
 			a.doubt(r, at)
 		case long && r.lastOK < at.sent:
--- a/aggregator_test.go
+++ b/aggregator_test.go
@@ -853,6 +853,64 @@
 	}
 }
 
+// Some replicas leave the parts of one class without an answer and serve the others. One that keeps a part that may
+// not run twice gets no more of these, nor does it for long after that part is given up, longer each time.
+func TestWaryOfSilence(t *testing.T) {
+	s := base()
+	s.SecondCopies = false
+	once := s.Classes[0]
+	once.Name, once.Repeat = "once", SingleShot
+	s.Classes = append(s.Classes, once)
+	b := start(t, s, names("r1", "r2")...)
+	went := map[string]int{}
+	other := map[string]int{}
+	var kept []Send            // by r1
+	round := func(keep bool) { // a query of each class, beside each other, so that neither replica is always the busier
+		b.step(20 * ms)
+		others := of[Send](b.query("c", 0, 1, 2))
+		for _, snd := range of[Send](b.query("once", 0)) {
+			went[snd.Replica]++
+			if keep && snd.Replica == "r1" {
+				kept = append(kept, snd)
+			} else {
+				b.step(ms, ended(snd.Part, 0, snd.Replica, Served, 10*ms))
+			}
+		}
+		for _, snd := range others {
+			other[snd.Replica]++
+			b.step(ms, ended(snd.Part, 0, snd.Replica, Served, 10*ms))
+		}
+	}
+	for len(kept) == 0 {
+		round(true)
+	}
+	for range 40 {
+		round(false)
+	}
+	clear(went)
+	clear(other)
+	for range 20 {
+		round(true)
+	}
+	if went["r1"] > 0 || went["r2"] == 0 || other["r1"] == 0 {
+		t.Errorf("beside a part that is kept, its class went to %v, the other one to %v", went, other)
+	}
+	b.step(0, ended(kept[0].Part, 0, "r1", TimedOut, 2*sec))
+	for range 100 {
+		round(true)
+	}
+	if went["r1"] > 0 || other["r1"] == 0 {
+		t.Errorf("soon after it was given up, its class went to %v, the other one to %v", went, other)
+	}
+	b.step(scale(2*sec, 2*waryFor))
+	for range 40 {
+		round(false)
+	}
+	if went["r1"] == 0 {
+		t.Errorf("long after, its class went to %v", went)
+	}
+}
+
 // A long life of ever-new replicas, shards' holders and deadly keys leaves nothing behind, but what comes back
 // within a minute is what it was.
 func TestForgetsWhatIsGone(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -85,6 +85,7 @@
 	faults    []int           // in a row, by class
 	barred    []time.Duration // by class: until then it gets none of it
 	okAt      []time.Duration // by class: when it served one last
+	lostAt    []time.Duration // by class: when one was given up last that it had kept for long
 	lastOK    time.Duration
 	fullUntil time.Duration
 	failing   bool // it fails at once, rather than being slow or silent
@@ -103,7 +104,7 @@
 
 func newReplica(r Replica, classes int) *replica {
 	return &replica{Replica: r, faults: make([]int, classes), barred: make([]time.Duration, classes),
-		okAt: make([]time.Duration, classes)}
+		okAt: make([]time.Duration, classes), lostAt: make([]time.Duration, classes)}
 }
 
 type shard struct {
