Keep few idle client connections, and displace no connection that is new

Temporary log lines: the program itself answered all but 14 with 200; nearly all connections carried one request and then stayed until they were displaced or idle for 2.2 s; the accept loop never waited. Excluded: lost SYNs (no listen overflows), CPU (0.24 s), nodes. Now the longest idle used connection goes once more than a sixth of the descriptors are so.

--- a/cmd/harepass/config.go
+++ b/cmd/harepass/config.go
@@ -51,6 +51,10 @@
 	return max(1, min(l.Sockets-l.nodes()-ownSockets, l.MemoryMB<<20/clientMemory))
 }
 
+// idle is how many connections are kept for clients that may ask again. Clients hold a third of the descriptors at
+// most for requests, so that half of that remains for those who come next.
+func (l limits) idle() int { return max(1, l.Sockets/6) }
+
 // defaultLimits hold where no platform tells any.
 var defaultLimits = limits{Cores: 1, MemoryMB: 192, Sockets: 1024}
 
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -151,6 +151,7 @@
 	}
 	for i, s := range p.servers {
 		s.Conns = max(1, p.limits.clients()/len(p.servers))
+		s.Idle = max(1, p.limits.idle()/len(p.servers))
 		go s.Serve(p.listens[i])
 	}
 	return nil
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -16,6 +16,7 @@
 	requestTime = 2500 * time.Millisecond // from a request's first byte to its last; from the accepting for the first one
 	answerTime  = 3 * time.Second         // for a peer to take an answer
 	stallTime   = 500 * time.Millisecond  // a request that is not whole after this does not hold its place when others come
+	freshTime   = 50 * time.Millisecond   // a new connection's first byte may be on its way for so long
 	acceptPause = 10 * time.Millisecond
 	acceptWords = 10 * time.Second       // between two log lines on accepting
 	lingerTime  = 400 * time.Millisecond // for a peer that is still sending to notice its answer
@@ -32,6 +33,7 @@
 	Limits  Limits
 	Fault   func(*Error) *Message // words what is wrong with a request, in place of plain text
 	Conns   int                   // connections held at once; one without a whole request makes room for the next
+	Idle    int                   // those of them that have been used and are idle; the longest idle one goes first
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -95,15 +97,23 @@
 // full and least are called under the lock.
 func (s *Server) full() bool { return s.Conns > 0 && len(s.conns) >= s.Conns }
 
-// least is the connection that makes way first: of those with no whole request open, one that has never
-// brought any, then the one that has waited longest. So a flood of silent peers displaces itself.
+// least is the connection that makes way first: one that has been without a whole request for long and never
+// brought any, then one that has and is idle, then one that is merely new; of each kind the one that has
+// waited longest. What has just come may have its request on the way: a flood must not displace it.
 func (s *Server) least() (least *conn) {
+	rank := 0
 	for c := range s.conns {
-		if c.whole > 0 || c.open > 0 && time.Since(c.since) < stallTime {
+		waited, r := time.Since(c.since), 1
+		switch {
+		case c.whole > 0 || c.open > 0 && waited < stallTime || !c.used && waited < freshTime:
 			continue
+		case waited >= stallTime && (!c.used || c.open > 0):
+			r = 0
+		case !c.used:
+			r = 2
 		}
-		if least == nil || !c.used && least.used || c.used == least.used && c.since.Before(least.since) {
-			least = c
+		if least == nil || r < rank || r == rank && c.since.Before(least.since) {
+			least, rank = c, r
 		}
 	}
 	return least
@@ -165,6 +175,25 @@
 	if c.open == 0 {
 		c.since = time.Now()
 		c.SetReadDeadline(c.since.Add(idleTime))
+		c.s.trim()
+	}
+}
+
+// trim closes, under the lock, the longest idle connection where too many are kept. Clients that ask once and
+// stay would else hold so many that none is left for those who come next.
+func (s *Server) trim() {
+	var longest *conn
+	idle := 0
+	for c := range s.conns {
+		if c.used && c.open == 0 {
+			if idle++; longest == nil || c.since.Before(longest.since) {
+				longest = c
+			}
+		}
+	}
+	if s.Idle > 0 && idle > s.Idle {
+		delete(s.conns, longest)
+		longest.Close()
 	}
 }
 
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/textproto"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -303,3 +305,84 @@
 		s.Shutdown()
 	})
 }
+
+// A connection that has only just come makes way for none: its request may be on the way. Before it goes one that
+// has been used and is idle, though it has asked before.
+func TestNewcomersAreNotDisplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var memory standin.Net
+		l := memory.Listen("s")
+		s := &Server{Limits: small, Conns: 3, Handler: func(*Message, <-chan struct{}) *Message { return &Message{Status: 200} }}
+		go s.Serve(l)
+		answered := 0
+		var wg sync.WaitGroup
+		come := func() {
+			c, err := memory.Dial(context.Background(), "s")
+			if err != nil {
+				t.Fatal(err)
+			}
+			wg.Go(func() {
+				time.Sleep(freshTime / 2) // the way of its first byte
+				c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+				if m, err := NewAnswerReader(small).Read(c); err == nil && m.Status == 200 {
+					answered++
+				}
+				c.Read(make([]byte, 1)) // stays for good
+				c.Close()
+			})
+		}
+		for range 5 { // each lot fills the server anew
+			for range 3 {
+				come()
+			}
+			time.Sleep(freshTime)
+			synctest.Wait()
+		}
+		if answered != 15 {
+			t.Errorf("%d of 15 were answered", answered)
+		}
+		l.Close()
+		time.Sleep(2 * idleTime)
+		wg.Wait()
+		s.Shutdown()
+	})
+}
+
+// Clients that ask once and stay do not pile up: the longest idle connection goes, no busy one and none that is new.
+func TestIdleConnectionsAreFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var memory standin.Net
+		l := memory.Listen("s")
+		s := &Server{Limits: small, Conns: 100, Idle: 3, Handler: func(req *Message, gone <-chan struct{}) *Message {
+			if req.Target == "/slow" {
+				<-gone
+			}
+			return &Message{Status: 200}
+		}}
+		go s.Serve(l)
+		var open []int
+		var conns []net.Conn
+		for i, text := range []string{"GET /slow HTTP/1.1\r\n\r\n", "", "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
+			"GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n\r\n"} {
+			c, err := memory.Dial(context.Background(), "s")
+			if err != nil {
+				t.Fatal(err)
+			}
+			conns, open = append(conns, c), append(open, i)
+			go func() {
+				io.Copy(io.Discard, c)
+				open = slices.DeleteFunc(open, func(n int) bool { return n == i })
+			}()
+			c.Write([]byte(text))
+			time.Sleep(10 * time.Millisecond)
+		}
+		if fmt.Sprint(open) != "[0 1 4 5 6]" {
+			t.Errorf("open are %v", open)
+		}
+		for _, c := range conns {
+			c.Close()
+		}
+		l.Close()
+		s.Shutdown()
+	})
+}
