--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -6,9 +6,9 @@
 	"io"
 	"net"
 	"net/textproto"
-	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -314,7 +314,7 @@
 		l := memory.Listen("s")
 		s := &Server{Limits: small, Conns: 3, Handler: func(*Message, <-chan struct{}) *Message { return &Message{Status: 200} }}
 		go s.Serve(l)
-		answered := 0
+		var answered atomic.Int32
 		var wg sync.WaitGroup
 		come := func() {
 			c, err := memory.Dial(context.Background(), "s")
@@ -325,7 +325,7 @@
 				time.Sleep(freshTime / 2) // the way of its first byte
 				c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
 				if m, err := NewAnswerReader(small).Read(c); err == nil && m.Status == 200 {
-					answered++
+					answered.Add(1)
 				}
 				c.Read(make([]byte, 1)) // stays for good
 				c.Close()
@@ -338,8 +338,8 @@
 			time.Sleep(freshTime)
 			synctest.Wait()
 		}
-		if answered != 15 {
-			t.Errorf("%d of 15 were answered", answered)
+		if n := answered.Load(); n != 15 {
+			t.Errorf("%d of 15 were answered", n)
 		}
 		l.Close()
 		time.Sleep(2 * idleTime)
@@ -360,24 +360,27 @@
 			return &Message{Status: 200}
 		}}
 		go s.Serve(l)
-		var open []int
 		var conns []net.Conn
+		open := make([]atomic.Bool, 7)
 		for i, text := range []string{"GET /slow HTTP/1.1\r\n\r\n", "", "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
 			"GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n\r\n"} {
 			c, err := memory.Dial(context.Background(), "s")
 			if err != nil {
 				t.Fatal(err)
 			}
-			conns, open = append(conns, c), append(open, i)
+			conns = append(conns, c)
+			open[i].Store(true)
 			go func() {
 				io.Copy(io.Discard, c)
-				open = slices.DeleteFunc(open, func(n int) bool { return n == i })
+				open[i].Store(false)
 			}()
 			c.Write([]byte(text))
 			time.Sleep(10 * time.Millisecond)
 		}
-		if fmt.Sprint(open) != "[0 1 4 5 6]" {
-			t.Errorf("open are %v", open)
+		for i, want := range []bool{true, true, false, false, true, true, true} {
+			if open[i].Load() != want {
+				t.Errorf("connection %d: open %t, want %t", i, !want, want)
+			}
 		}
 		for _, c := range conns {
 			c.Close()
