Close a node connection on which giving up cannot be told; corpus of bad input

From reading: core.go's abandon() took an attempt for ended after 20 ms though its giving up might still wait behind a write that the node does not take, so that the next attempt could be a second copy. Now the caller is told again and closes the connection first.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,7 +104,7 @@
 	// Call sends the attempts as one call; each ends in one Owner.Ended.
 	Call(node Node, attempts []*Attempt)
 	// Abandon tells the node that an attempt is given up and then ends it as Cancelled, unless it
-	// has ended otherwise.
+	// has ended otherwise. Called again, it closes the attempt's connection before it returns.
 	Abandon(*Attempt)
 	// Disconnect closes the idle connections to a node.
 	Disconnect(node string)
@@ -438,7 +438,10 @@
 	}
 	at.reason = reason
 	o.deadlines.remove(at.due)
-	at.due = o.deadlines.add(o.now+abandonWait, func() { o.end(at, harepass.Cancelled, nil, o.now) })
+	at.due = o.deadlines.add(o.now+abandonWait, func() {
+		at.caller.Abandon(at)
+		o.end(at, harepass.Cancelled, nil, o.now)
+	})
 	at.caller.Abandon(at)
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -133,6 +133,9 @@
 		if !first.ended {
 			t.Error("the attempt has not ended")
 		}
+		if closed := len(r.hand.abandoned) == 2; closed == confirmed { // what the word could not reach has to be cut off
+			t.Errorf("word out: %t, connection closed: %t", confirmed, closed)
+		}
 	}
 }
 
--- a/internal/http1/reader_test.go
+++ b/internal/http1/reader_test.go
@@ -51,7 +51,7 @@
 // FuzzReader plays random requests, sound and not, in random pieces against a model that says of each
 // request by itself what a reader has to make of it.
 func FuzzReader(f *testing.F) {
-	for kind := range byte(14) {
+	for kind := range byte(18) {
 		f.Add([]byte{0, 3, kind, 9, 1, 20}, []byte{kind})
 	}
 	f.Add([]byte{1, 60, 0, 0, 3, 1}, []byte{7, 1, 30})
@@ -65,7 +65,7 @@
 			body := strings.Repeat("b", n)
 			ok := fmt.Sprintf("POST /%d %q close=false", i, body)
 			end := func(status string) { want, broken = append(want, status), true }
-			switch head := fmt.Sprintf("POST /%d HTTP/1.1\r\nHost: h\r\n", i); steps[i] % 14 {
+			switch head := fmt.Sprintf("POST /%d HTTP/1.1\r\nHost: h\r\n", i); steps[i] % 18 {
 			case 0:
 				fmt.Fprintf(&wire, "%sContent-Length: %d\r\n\r\n%s", head, n, body)
 				want = append(want, ok)
@@ -111,6 +111,19 @@
 			case 12:
 				fmt.Fprintf(&wire, "GET /%d HTTP/2.0\r\n\r\n", i)
 				end("505")
+			case 14: // lengths that are wrong, negative or huge, of bodies that come all the same
+				fmt.Fprintf(&wire, "%sContent-Length: %s\r\n\r\n%s", head, []string{"-1", "+2", "1 2", "0x9", "", "99999999999999999999"}[n%6], body)
+				end("400")
+			case 15: // a body of 60 MB, with its length and without
+				fmt.Fprintf(&wire, "%s%s\r\n\r\n%s", head, []string{"Content-Length: 60000000",
+					"Transfer-Encoding: chunked\r\n\r\n3938700"}[n%2], body)
+				end("413")
+			case 16: // a chunk that claims less than nothing
+				fmt.Fprintf(&wire, "%sTransfer-Encoding: chunked\r\n\r\n-%X\r\n%s\r\n", head, n, body)
+				end("400")
+			case 17: // no HTTP at all
+				fmt.Fprintf(&wire, "\x16\x03\x01%s\r\n\r\n", body)
+				end("400")
 			case 13:
 				fmt.Fprintf(&wire, "%sContent-Length: %d\r\n\r\n%s", head, n+1, body)
 				end("unexpected EOF")
--- a/internal/inventory/keeper_test.go
+++ b/internal/inventory/keeper_test.go
@@ -34,6 +34,7 @@
 		{"b,2,1\nc,3,9\n", ""}, // refused
 		{"a,1,0\nb,2,1\nc,3,2\n", "a+new b+ c+new "},
 		{"a,1,0\nb,9,1\n", "a+new b+new c-new "},
+		{"a,1,0\nb,9,1\n", "a+new b+new "}, // c is forgotten
 	} {
 		got, err := read(tc.rows)
 		if got != tc.want || (err != nil) != (tc.want == "") {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -175,14 +175,15 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.sends[at]
-	if s == nil || s.givenUp {
+	if s == nil {
 		return
 	}
+	again := s.givenUp
 	s.givenUp = true
 	for _, c := range slices.Clone(n.conns[at.Node]) {
 		switch {
 		case !slices.Contains(c.out, s):
-		case s.state == written && c.heard.Before(s.sent) && time.Since(s.sent) > quietTime:
+		case again, s.state == written && c.heard.Before(s.sent) && time.Since(s.sent) > quietTime:
 			c.discard() // the word might never be read, and the part run twice at once
 		default:
 			c.enqueue(&nodeCall{giveUp: s})
--- a/internal/platform/nodes_test.go
+++ b/internal/platform/nodes_test.go
@@ -197,6 +197,10 @@
 				continue
 			}
 			p.nodes.Abandon(w.at)
+			if w.givenUp { // the word waits: the connection is closed instead
+				broken(harepass.Moot, harepass.Cancelled)
+				break
+			}
 			w.givenUp = true
 			if blocked = shut; !shut {
 				w.outcome = []harepass.Outcome{harepass.Cancelled}
