Take a node's connection for silent after a fifth of the tightest aim

Now the time derives from the settings (76 ms here, 300 ms where the aim is 1.5 s), three answers elsewhere prove it, and an answer that has begun has that long too.

--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -27,8 +27,10 @@
 	closeAfterTerm  = 1200 * time.Millisecond // from then on no connection is waited for that has nothing open
 	killAfter       = 3 * time.Second         // where no class has a tighter deadline: after so long, and acceptAfterTerm, the platform kills
 	killMargin      = 100 * time.Millisecond
-	memoryShare     = 0.6       // of the limit, for the collector; stacks and buffers of sockets come on top
-	apiBody         = 256 << 10 // bytes of a request of the OpenSearch-style API
+	quietShare      = 5           // a fifth of the tightest aim
+	quietMost       = time.Second // whatever the aims
+	memoryShare     = 0.6         // of the limit, for the collector; stacks and buffers of sockets come on top
+	apiBody         = 256 << 10   // bytes of a request of the OpenSearch-style API
 )
 
 // flags are those of serve and check.
@@ -108,7 +110,8 @@
 
 // start builds the owner with its callers and fronts and sets all going.
 func (p *program) start(ctx context.Context) error {
-	frames := &platform.Nodes{Streams: p.caps.Streams, Most: p.limits.nodes(), ConnectTimeout: p.caps.ConnectTimeout, KeepAlive: p.caps.KeepAlive}
+	frames := &platform.Nodes{Streams: p.caps.Streams, Most: p.limits.nodes(), ConnectTimeout: p.caps.ConnectTimeout,
+		Quiet: p.quietTime(), KeepAlive: p.caps.KeepAlive}
 	cfg := core.Config{Seed: p.seed, Settings: p.settings, Limits: core.Limits{Open: p.caps.Open, Shards: p.caps.Shards, Drain: p.drainTime()}, Clock: p.clock,
 		Callers: map[string]core.Caller{platform.Scheme: frames}, Subscribe: func() {}, Asked: inventory.Source}
 	p.closers = append(p.closers, frames.Close)
@@ -236,6 +239,16 @@
 	slog.Info("stopped")
 }
 
+// quietTime is how long a node's connection may be silent while answers are awaited: far longer than a part
+// takes, but short enough to ask another node within the tightest aim.
+func (p *program) quietTime() time.Duration {
+	tightest := quietMost
+	for _, c := range p.settings.Classes {
+		tightest = min(tightest, c.Aim/quietShare)
+	}
+	return tightest
+}
+
 // drainTime is when, after SIGTERM, the last query has to have its answer: before the platform kills.
 func (p *program) drainTime() time.Duration {
 	longest := time.Duration(0)
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -26,11 +26,10 @@
 	keepAlive = 10 * time.Second // where the settings leave it out
 
 	// Connections fall silent without a word, while their node answers on others. One on which answers have been
-	// awaited for quietTime gets no new calls while there are fewer than quietMost like it, and is closed once
+	// awaited for Nodes.Quiet gets no new calls while there are fewer than quietMost like it, and is closed once
 	// quietProof later calls have been answered on others.
-	quietTime  = 100 * time.Millisecond
 	quietMost  = 4
-	quietProof = 4
+	quietProof = 3
 
 	pastIDs = 256 // settled ids that a connection remembers: a late answer or a second copy is no fault
 )
@@ -38,9 +37,10 @@
 // Nodes speaks frames to data nodes. It is a core.Caller.
 type Nodes struct {
 	Owner          core.Reporter
-	Streams        int           // calls that one connection carries at once
-	Most           int           // connections held at once, but for the first to each node; 0 for no limit
-	ConnectTimeout time.Duration // also for an answer to come in whole from its first byte on
+	Streams        int // calls that one connection carries at once
+	Most           int // connections held at once, but for the first to each node; 0 for no limit
+	ConnectTimeout time.Duration
+	Quiet          time.Duration // for an answer to come in whole, and for some answer where any is awaited
 	KeepAlive      time.Duration // idle connections are closed by nodes after this
 	Dial           http1.Dialer  // nil for plain TCP
 
@@ -121,7 +121,7 @@
 		case c.calls == 0 && (c.address != node.Address || time.Since(c.used) > n.trusted()):
 			c.shut()
 		case c.address != node.Address:
-		case c.quiet() > quietTime:
+		case c.quiet() > n.Quiet:
 			quiets++
 			if quiet == nil || c.calls < quiet.calls {
 				quiet = c
@@ -183,7 +183,7 @@
 	for _, c := range slices.Clone(n.conns[at.Node]) {
 		switch {
 		case !slices.Contains(c.out, s):
-		case again, s.state == written && c.heard.Before(s.sent) && time.Since(s.sent) > quietTime:
+		case again, s.state == written && c.heard.Before(s.sent) && time.Since(s.sent) > n.Quiet:
 			c.discard() // the word might never be read, and the part run twice at once
 		default:
 			c.enqueue(&nodeCall{giveUp: s})
@@ -267,7 +267,7 @@
 func (c *nodeConn) hear(s *sending) {
 	c.heard, c.proof = time.Now(), 0
 	for _, o := range slices.Clone(c.nodes.conns[c.node]) {
-		if q := o.quiet(); o != c && q > quietTime && time.Since(s.sent) < q {
+		if q := o.quiet(); o != c && q > c.nodes.Quiet && time.Since(s.sent) < q {
 			if o.proof++; o.proof >= quietProof {
 				o.discard()
 			}
@@ -453,7 +453,7 @@
 			return
 		case !begun:
 			begun = true
-			conn.SetReadDeadline(time.Now().Add(c.nodes.ConnectTimeout))
+			conn.SetReadDeadline(time.Now().Add(c.nodes.Quiet))
 		}
 		_, err := b.Fill(conn)
 		switch late := errors.Is(err, os.ErrDeadlineExceeded); {
