--- a/aggregator.go
+++ b/aggregator.go
@@ -32,6 +32,8 @@
 	hedgeBurst    = 10.0 // how many of them may be saved up: one failed replica's parts; 3 was worse
 
 	silentFactor = 1.5  // overdue times without any answer that make a replica silent
+	keptFactor   = 0.5  // overdue times after which a replica may be keeping a class unanswered
+	lostFactor   = 10.0 // usual means after which an attempt is lost, not slow: a next one costs work
 	slowFactor   = 3.0  // times its siblings' mean that make a replica too slow to be ready
 	backFactor   = 2.0  // a suspect's trial parts must be within so many of its siblings' means
 	trialShare   = 0.15 // trial parts, as a share of parts taken: suspects never take over a root's traffic
@@ -612,7 +614,7 @@
 // stuck tells whether a replica has kept a part for too long: it may leave just those unanswered.
 func (a *Aggregator) stuck(r *replica, c *class) bool {
 	return slices.ContainsFunc(r.out, func(at *attempt) bool {
-		return at.part.q.cls == c && !at.excused && a.now-at.sent > a.late(r, c, 1, hedgeFactor)
+		return at.part.q.cls == c && !at.excused && a.now-at.sent > a.late(r, c, keptFactor, hedgeFactor)
 	})
 }
 
@@ -707,7 +709,9 @@
 		return
 	}
 	at := p.attempts[len(p.attempts)-1]
-	lost := at.trial && !a.set.SecondCopies && a.set.Cancel // the part's only attempt: it is called off
+	// Where copies are barred, a part's only attempt is called off for the next one: a trial, or a lost one.
+	lost := !a.set.SecondCopies && a.set.Cancel && (at.trial || p.q.cls.Repeat == Free && !at.excused &&
+		a.hedges >= 1 && a.now-at.sent >= a.late(at.r, p.q.cls, silentFactor, lostFactor))
 	free := lost || p.q.weight >= 1-hedgeShare
 	if at.ended || at.off || at.counted || a.hedges < 1 && !free ||
 		a.now-at.sent < a.late(at.r, p.q.cls, 1, hedgeFactor) {
@@ -718,7 +722,9 @@
 		target = p.q.parts[i]
 	}
 	if lost && a.maySend(p) { // the next one goes out when this one has ended
-		at.off = true
+		if at.off = true; !at.trial {
+			a.hedges--
+		}
 		a.do(CallOff{Part: p.ID, Attempt: at.no})
 	}
 	if target == p && (!a.set.SecondCopies || !a.maySend(p)) || at.off {
@@ -821,7 +827,7 @@
 		a.bar(r, c)
 	case TimedOut, Cancelled:
 		long := ev.Took >= a.late(r, c, silentFactor, slowFactor) && !at.excused && !a.heldUp
-		if long {
+		if ev.Took >= a.late(r, c, keptFactor, hedgeFactor) {
 			r.lostAt[c.idx] = a.now
 		}
 		switch {
--- a/symptoms_test.go
+++ b/symptoms_test.go
@@ -674,6 +674,40 @@
 	}
 }
 
+// Where copies are barred, an attempt that has taken ten times as long as usual is called off, and the part goes to
+// another replica well before its aim. One that is merely slow is waited for, and so is one that may not run twice.
+func TestLostAttemptIsReplaced(t *testing.T) {
+	for _, tc := range []struct {
+		repeat Repeat
+		usual  time.Duration
+		lost   bool
+	}{{Free, 20 * ms, true}, {Free, 300 * ms, false}, {SingleShot, 20 * ms, false}} {
+		s := base()
+		s.SecondCopies = false
+		s.Classes[0].Repeat = tc.repeat
+		b := start(t, s, names("a", "b")...)
+		for range 100 {
+			b.step(20 * ms)
+			for _, x := range of[Send](b.query("c", 0)) {
+				b.step(tc.usual, ended(x.Part, 0, x.Replica, Served, tc.usual))
+			}
+		}
+		first := of[Send](b.query("c", 0))[0]
+		var again []Send
+		var off []CallOff
+		var after time.Duration
+		for ; after < 1900*ms && len(off) == 0; after += 20 * ms {
+			off = of[CallOff](b.step(20*ms, Woken{}))
+		}
+		if len(off) > 0 {
+			again = of[Send](b.step(5*ms, ended(first.Part, 0, first.Replica, Cancelled, after)))
+		}
+		if lost := len(again) == 1 && again[0].Replica != first.Replica && after < sec; lost != tc.lost || !lost && len(off) > 0 {
+			t.Errorf("%+v: called off %v after %v, then %v", tc, off, after, again)
+		}
+	}
+}
+
 // A broken connection resets all that was on it, but the process runs on: one such loss makes no suspect and no cold
 // replica, and other queries that have no key in common with its own go on at once. Two without an answer
 // between them are more than bad luck.
