--- a/aggregator_test.go
+++ b/aggregator_test.go
@@ -44,6 +44,16 @@
 	return b
 }
 
+// startOnce has two replicas, no copies, and a second class, once, whose parts may not run twice.
+func startOnce(t *testing.T) *bench {
+	s := base()
+	s.SecondCopies = false
+	once := s.Classes[0]
+	once.Name, once.Repeat = "once", SingleShot
+	s.Classes = append(s.Classes, once)
+	return start(t, s, names("r1", "r2")...)
+}
+
 func names(ids ...string) (list []Replica) {
 	for _, id := range ids {
 		list = append(list, Replica{ID: id})
@@ -804,12 +814,7 @@
 // them while another can take them; parts that may be repeated still go there. With errors everywhere,
 // parts go out all the same.
 func TestWaryAfterAnError(t *testing.T) {
-	s := base()
-	s.SecondCopies = false
-	once := s.Classes[0]
-	once.Name, once.Repeat = "once", SingleShot
-	s.Classes = append(s.Classes, once)
-	b := start(t, s, names("r1", "r2")...)
+	b := startOnce(t)
 	to := func(class string) map[string]int {
 		got := map[string]int{}
 		for range 60 {
@@ -856,12 +861,7 @@
 // Some replicas leave the parts of one class without an answer and serve the others. One that keeps a part that may
 // not run twice gets no more of these, nor does it for long after that part is given up, longer each time.
 func TestWaryOfSilence(t *testing.T) {
-	s := base()
-	s.SecondCopies = false
-	once := s.Classes[0]
-	once.Name, once.Repeat = "once", SingleShot
-	s.Classes = append(s.Classes, once)
-	b := start(t, s, names("r1", "r2")...)
+	b := startOnce(t)
 	went := map[string]int{}
 	other := map[string]int{}
 	var kept []Send            // by r1
