--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	idleTime    = 2200 * time.Millisecond // a connection with no open request is closed after this
+	idleTime    = 2200 * time.Millisecond // a connection that has brought no request is closed after this
+	keepTime    = time.Minute             // and one that has, so that a close seldom crosses a request; Idle bounds their number
 	requestTime = 2500 * time.Millisecond // from a request's first byte to its last; from the accepting for the first one
 	answerTime  = 3 * time.Second         // for a peer to take an answer
 	stallTime   = 500 * time.Millisecond  // a request that is not whole after this does not hold its place when others come
@@ -174,7 +175,7 @@
 	c.open, c.whole = c.open-1, max(0, c.whole-1) // what could not be read was never whole
 	if c.open == 0 {
 		c.since = time.Now()
-		c.SetReadDeadline(c.since.Add(idleTime))
+		c.SetReadDeadline(c.since.Add(keepTime))
 		c.s.trim()
 	}
 }
