Two phases: held parts in the module, decisions, first phases in core and front

A conditions summary asks every section in full though few have changed. The module now knows parts that are held until the root settles them; internal/decide/twophase decides which sections are asked cheaply first, for how long their full part is held back, what a first answer proves and what values are retained; the core runs the first phase as a query of a class of its own; the OpenSearch-style front words it as size 0 with a stats aggregation over the field that holds a document's version. Off unless an index has two_phase.

--- a/aggregator.go
+++ b/aggregator.go
@@ -102,6 +102,8 @@
 			a.onQuery(ev)
 		case PartArrived:
 			a.onPart(ev)
+		case PartSettled:
+			a.onSettled(ev)
 		case AttemptEnded:
 			a.onEnded(ev)
 		case QueryGone:
@@ -318,12 +320,26 @@
 	p := &part{PartArrived: ev, q: q}
 	q.parts = append(q.parts, p)
 	a.parts[p.ID] = p
-	a.shardOf(ev.Shard).counts[q.cls.idx]++
+	if s := a.shardOf(ev.Shard); !ev.Held { // a held part is no load yet
+		s.counts[q.cls.idx]++
+	}
 	a.hedges = min(hedgeBurst, a.hedges+hedgeShare)
 	a.trials = min(trialRuns, a.trials+trialShare)
 	a.taken = append(a.taken, a.now)
 }
 
+// onSettled lets a held part go out, or takes a part as served whose value the root has by other means.
+func (a *Aggregator) onSettled(ev PartSettled) {
+	if p := a.parts[ev.ID]; p != nil && !p.served && !p.q.closed {
+		if p.Held && !ev.In {
+			a.shardOf(p.Shard).counts[p.q.cls.idx]++
+		}
+		if p.Held = false; ev.In {
+			a.serve(p)
+		}
+	}
+}
+
 // admit refuses what cannot meet its aim, over-share traffic first.
 func (a *Aggregator) admit(q *query) {
 	q.admitted = true
@@ -444,7 +460,7 @@
 		if !p.served && !p.left && a.live(p) {
 			reach += p.Weight
 		}
-		if p.wanted && !p.served && p.outstanding() == 0 && a.maySend(p) &&
+		if p.wanted && !p.Held && !p.served && p.outstanding() == 0 && a.maySend(p) &&
 			a.now < q.end && a.now >= p.notBefore && !held {
 			r, t := a.pick(p, false), a.due(p)
 			if t != nil && !scout {
@@ -718,7 +734,7 @@
 		return
 	}
 	target := p
-	if i := slices.IndexFunc(p.q.parts, func(x *part) bool { return !x.wanted && !x.left }); i >= 0 {
+	if i := slices.IndexFunc(p.q.parts, func(x *part) bool { return !x.wanted && !x.left && !x.Held }); i >= 0 {
 		target = p.q.parts[i]
 	}
 	if lost && a.maySend(p) { // the next one goes out when this one has ended
@@ -766,12 +782,17 @@
 		p.notBefore = a.now + scale(p.q.cls.Aim, lastPause)
 	}
 	if ev.Outcome == Served && !p.served {
-		p.served = true
-		p.q.weight += p.Weight
-		a.callOff(p)
+		a.serve(p)
 	}
 }
 
+// serve takes a part's value as in: no attempt of it is waited for any more.
+func (a *Aggregator) serve(p *part) {
+	p.served = true
+	p.q.weight += p.Weight
+	a.callOff(p)
+}
+
 // Replica health.
 
 // judge draws from an attempt's outcome what it says of its replica. Quick failures never look like speed.
--- a/api.go
+++ b/api.go
@@ -149,12 +149,20 @@
 		IsRetry    bool
 		Whole      bool // the client takes no answer in part
 	}
-	// PartArrived brings one part of the query of that number.
+	// PartArrived brings one part of the query of that number. Held parts count for admission and for what
+	// can still come in, but are not sent before their PartSettled.
 	PartArrived struct {
 		ID     string
 		Number int64
 		Shard  int
 		Weight float64
+		Held   bool
+	}
+	// PartSettled ends the hold of a part. In tells that the root has its value by other means: it counts as
+	// served, sent or not, and whatever attempt of it is out is called off.
+	PartSettled struct {
+		ID string
+		In bool
 	}
 	// AttemptEnded brings the one outcome of an attempt.
 	AttemptEnded struct {
@@ -175,6 +183,7 @@
 func (ListReceived) isEvent() {}
 func (QueryArrived) isEvent() {}
 func (PartArrived) isEvent()  {}
+func (PartSettled) isEvent()  {}
 func (AttemptEnded) isEvent() {}
 func (QueryGone) isEvent()    {}
 func (Told) isEvent()         {}
--- a/cmd/harepass/config.go
+++ b/cmd/harepass/config.go
@@ -55,6 +55,10 @@
 // most for requests, so that half of that remains for those who come next.
 func (l limits) idle() int { return max(1, l.Sockets/6) }
 
+// retained is how many bytes the values that two-phase queries retain may take: a sixteenth of the memory, since the
+// collector lets garbage grow to as much again, and buffers and queries need the rest.
+func (l limits) retained() int { return l.MemoryMB << 20 / 16 }
+
 // defaultLimits hold where no platform tells any.
 var defaultLimits = limits{Cores: 1, MemoryMB: 192, Sockets: 1024}
 
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -11,11 +11,13 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
 	"harepass"
 	"harepass/internal/core"
+	"harepass/internal/decide/twophase"
 	"harepass/internal/http1"
 	"harepass/internal/inventory"
 	"harepass/internal/opensearch"
@@ -59,6 +61,9 @@
 	}
 	if s.search != nil {
 		fmt.Fprintf(out, "opensearch: on %s, %d indices, %d callers\n", s.search.Listen, len(s.search.Indices), len(s.search.Callers))
+		if classes := s.search.Firsts(); len(classes) > 0 {
+			fmt.Fprintf(out, "two phases: for searches of %s, %d KiB of retained values\n", strings.Join(classes, ", "), s.limits.retained()>>10)
+		}
 	}
 	if s.inventory != nil {
 		fmt.Fprintf(out, "inventory: %s, %d hosts\n", s.inventory.Path, len(s.hosts))
@@ -120,6 +125,9 @@
 		frames.Most = max(1, frames.Most/2)
 		api = &opensearch.Nodes{Config: p.search, Most: frames.Most, ConnectTimeout: p.caps.ConnectTimeout, KeepAlive: p.caps.KeepAlive}
 		cfg.Callers[opensearch.Scheme] = api
+		if cfg.Firsts = p.search.Firsts(); len(cfg.Firsts) > 0 {
+			cfg.Planner, cfg.Schemes = twophase.New(p.limits.retained()), map[string]bool{opensearch.Scheme: true}
+		}
 		p.closers = append(p.closers, api.Close)
 	}
 	if p.config != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"harepass"
+	"harepass/internal/decide/twophase"
 )
 
 // Limits are the figures of a coordinator that bind the root round the module rather than the module.
@@ -43,6 +44,8 @@
 	Whole  bool   // no answer in part is wanted
 	Text   []byte // what each part carries to its node
 	Origin any    // the front's own form of the query, for callers that know it
+	Index  string // not empty where it may be asked in two phases: what its sections' values are kept under
+	None   []byte // then: the value of a section without any hit
 	Parts  []Part
 	Done   func(Answer)
 }
@@ -64,11 +67,13 @@
 	Invalid // no query that could be served: never begun
 )
 
-// Answer is the one final answer to a query. Values has an entry for each part, nil where none came in.
+// Answer is the one final answer to a query. Values has an entry for each part, nil where none came in. Pruned
+// tells, where the query had two phases, which of them the first one settled.
 type Answer struct {
 	Verdict Verdict
 	Whole   bool
 	Values  [][]byte
+	Pruned  []bool
 	RetryIn time.Duration
 	Reason  string // what is invalid
 }
@@ -89,6 +94,9 @@
 	Origin  any
 	Timeout time.Duration
 	Node    string
+	First   bool              // asks what the section could add, not for its value
+	Signed  bool              // the value is wanted with its version
+	Found   twophase.Evidence // set by the caller before Ended, where First or Signed asked for it
 
 	part   *part
 	no     int
@@ -124,6 +132,11 @@
 	Callers   map[string]Caller // by Node.Scheme
 	Subscribe func()            // asks a source for its list; must not block
 	Asked     string            // that source; others tell of themselves
+
+	// Two phases, for queries with an Index. Without a Planner all are asked in one.
+	Planner *twophase.Planner
+	Firsts  []string        // classes whose queries may have a first phase
+	Schemes map[string]bool // whose callers know of it
 }
 
 const (
@@ -152,6 +165,8 @@
 	byQuery   map[*Query]*query
 	ids       map[string]struct{} // that clients gave to queries whose time is not over
 	parts     map[string]*part
+	firsts    map[string]*first // by the module's id
+	ables     map[int]bool      // by section; made anew when the list changes
 	nodes     map[string]listedNode
 	events    []harepass.Event
 	deadlines deadlines
@@ -169,9 +184,11 @@
 
 type query struct {
 	*Query
-	id    string
-	parts []*part
-	due   *deadline
+	id     string
+	number int64
+	parts  []*part
+	due    *deadline
+	first  *first // nil in one phase
 }
 
 type part struct {
@@ -181,11 +198,17 @@
 	q        *query
 	value    []byte
 	attempts []*Attempt
+
+	of     *part // that this is the first phase of
+	ahead  *part // that is its first phase; nil in one phase, and once it is over
+	held   bool  // not to be sent yet
+	signed bool  // its value is wanted with its version
+	pruned bool  // its value came of the first phase
 }
 
 // New returns an Owner in the phase Starting.
 func New(cfg Config) (*Owner, error) {
-	agg, err := harepass.New(cfg.Seed, cfg.Settings)
+	agg, err := harepass.New(cfg.Seed, withFirsts(cfg.Settings, cfg.Firsts))
 	if err != nil {
 		return nil, err
 	}
@@ -196,7 +219,7 @@
 	}
 	return &Owner{cfg: cfg, agg: agg, queue: make(chan message, queueSize), done: make(chan struct{}),
 		ready: make(chan struct{}), queries: map[string]*query{}, byQuery: map[*Query]*query{},
-		ids: map[string]struct{}{}, parts: map[string]*part{}, nodes: map[string]listedNode{}, deadlines: newDeadlines()}, nil
+		ids: map[string]struct{}{}, parts: map[string]*part{}, firsts: map[string]*first{}, ables: map[int]bool{}, nodes: map[string]listedNode{}, deadlines: newDeadlines()}, nil
 }
 
 // message is something that another goroutine tells the owner.
@@ -311,7 +334,7 @@
 	}
 	o.held += size
 	o.next++
-	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10)}
+	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10), number: o.next}
 	o.queries[q.id], o.byQuery[m.q] = q, q
 	q.due = o.deadlines.add(q.Until+overdue, func() { o.overdue(q) })
 	o.ids[q.ID] = struct{}{}
@@ -322,8 +345,12 @@
 		pt := &part{id: q.id + "." + strconv.Itoa(i), index: i, shard: p.Shard, q: q}
 		q.parts = append(q.parts, pt)
 		o.parts[pt.id] = pt
-		o.events = append(o.events, harepass.PartArrived{ID: pt.id, Number: o.next, Shard: p.Shard, Weight: p.Weight})
 	}
+	firsts := o.plan(q)
+	for i, p := range q.parts {
+		o.events = append(o.events, harepass.PartArrived{ID: p.id, Number: q.number, Shard: p.shard, Weight: q.Parts[i].Weight, Held: p.held})
+	}
+	o.begin(q, firsts)
 }
 
 func (m left) apply(o *Owner) {
@@ -371,6 +398,7 @@
 		}
 	}
 	o.events = append(o.events, ev)
+	clear(o.ables)
 	o.list = o.list || m.scope != harepass.ListRemembered && m.source == o.cfg.Asked
 }
 
@@ -394,6 +422,7 @@
 	delete(o.queries, q.id)
 	delete(o.byQuery, q.Query)
 	o.held -= 1 + len(q.parts)
+	o.endFirst(q)
 	for _, p := range q.parts {
 		o.forget(p)
 	}
@@ -422,11 +451,13 @@
 	if outcome == harepass.Cancelled && at.reason != harepass.Served { // else the caller took it back by itself
 		outcome = at.reason
 	}
-	if outcome == harepass.Served && at.part.value == nil {
+	if outcome == harepass.Served && at.part.value == nil && !at.First {
 		at.part.value = value
 	}
+	took := max(0, when-at.sent)
 	o.events = append(o.events, harepass.AttemptEnded{Part: at.part.id, Attempt: at.no, Replica: at.Node,
-		Outcome: outcome, Took: max(0, when-at.sent)})
+		Outcome: outcome, Took: took})
+	o.learn(at, outcome == harepass.Served, value, took)
 	o.forget(at.part)
 }
 
@@ -464,20 +495,23 @@
 			}
 		case harepass.Answer:
 			if q := o.queries[a.Query]; q != nil {
-				ans := Answer{Whole: a.Whole, Values: make([][]byte, len(q.parts))}
+				ans := Answer{Whole: a.Whole, Values: make([][]byte, len(q.parts)), Pruned: make([]bool, len(q.parts))}
 				for i, p := range q.parts {
-					ans.Values[i] = p.value
+					ans.Values[i], ans.Pruned[i] = p.value, p.pruned
 				}
 				o.finish(q, ans)
 			}
+			o.letOut(o.firsts[a.Query])
 		case harepass.Refuse:
 			if q := o.queries[a.Query]; q != nil {
 				o.finish(q, Answer{Verdict: Refused, RetryIn: a.RetryIn})
 			}
+			o.letOut(o.firsts[a.Query])
 		case harepass.Fail:
 			if q := o.queries[a.Query]; q != nil {
 				o.finish(q, Answer{Verdict: Failed})
 			}
+			o.letOut(o.firsts[a.Query])
 		case harepass.Disconnect:
 			if c := o.cfg.Callers[o.nodes[a.Replica].Scheme]; c != nil {
 				c.Disconnect(a.Replica)
@@ -508,11 +542,16 @@
 	at := &Attempt{Query: p.q.ID, Class: p.q.Class, Shard: p.shard, Text: p.q.Text, Origin: p.q.Origin,
 		Timeout: a.Timeout, Node: a.Replica, part: p, no: len(p.attempts), sent: o.now}
 	p.attempts = append(p.attempts, at)
-	at.caller = o.cfg.Callers[o.nodes[a.Replica].Scheme]
-	if o.queries[p.q.id] == nil || at.caller == nil {
+	scheme := o.nodes[a.Replica].Scheme
+	at.caller = o.cfg.Callers[scheme]
+	at.First, at.Signed = p.of != nil, p.signed && o.cfg.Schemes[scheme]
+	if o.queries[p.q.id] == nil || at.caller == nil || at.First && (p.of.ahead != p || !o.cfg.Schemes[scheme]) {
 		o.end(at, harepass.Moot, nil, o.now)
 		return nil
 	}
+	if p.q.Index != "" && o.cfg.Planner != nil && !at.First {
+		o.cfg.Planner.Asked(p.q.topic())
+	}
 	at.due = o.deadlines.add(o.now+a.Timeout, func() { o.abandon(at, harepass.TimedOut) })
 	return at
 }
--- /dev/null
+++ b/internal/decide/twophase/twophase.go
@@ -0,0 +1,247 @@
+// Package twophase decides how queries over many sections are asked in two phases: first, cheaply, what a section
+// could add, then in full only those that may. It decides which sections are worth the first question, how
+// long their full one is held back for it, what a first answer proves, and what values are retained. It has no
+// I/O, no clock and no randomness; docs/design/two-phase.md says why each rule is as it is.
+//
+// A Planner belongs to one goroutine. Instants are readings of any clock that never goes back.
+package twophase
+
+import (
+	"strconv"
+	"time"
+)
+
+// Tunables: ratios and counts; times follow from what was seen.
+const (
+	creditRate  = 0.04 // speculative work allowed, as a share of the full parts asked: under the 5% that may be lost
+	firstRatio  = 0.1  // cost of a first answer in full ones, until both have been seen
+	leastRatio  = 0.02 // no first answer is taken to be cheaper
+	chanceGain  = 0.2  // weight of a new sample in a section's chances: about five queries
+	firstChance = 0.5  // that a value retained for the first time still stands
+	slackFactor = 2.0  // times the usual slow first answer (its 95th percentile) that a section is held back
+	firstShare  = 0.25 // of the time to spare, for the first answers where none has been seen
+	slow        = 0.95 // quantile of the latencies that time is kept for
+	quick       = 0.1  // quantile that tells of cost: what waits in a queue would make both phases look alike
+	markLife    = time.Minute
+)
+
+// Topic is what costs are learned by.
+type Topic struct{ Index, Class string }
+
+// Ask is a query at its arrival.
+type Ask struct {
+	Topic
+	Text     string         // all that a section's value depends on, besides its data
+	Sections []int          // in the order of its parts
+	Able     func(int) bool // whether every holder of a section can be asked cheaply
+	Now, Aim time.Duration  // when the answer is wanted
+}
+
+// Step is how a section is asked.
+type Step int
+
+// The ways to ask.
+const (
+	Full   Step = iota // at once, as without two phases
+	Signed             // at once, with the version of what it returns, so that it can be retained
+	First              // cheaply first
+)
+
+// Plan is what becomes of a query's sections. Hold is how long those asked First wait at most, 0 where none is.
+type Plan struct {
+	Steps []Step
+	Hold  time.Duration
+}
+
+// Planner learns what two phases are worth and retains values. Use New.
+type Planner struct {
+	store  store
+	topics map[Topic]*topic
+}
+
+// topic is what is known of an index and class.
+type topic struct {
+	first, full recent  // latencies of served parts
+	credit      float64 // speculative work that may be spent, in full parts
+	most        int     // sections of the largest query
+	next        int     // where the next query begins to speculate, so that no section is left out
+}
+
+// New returns a Planner that retains at most so many bytes, bookkeeping included; 0 retains nothing.
+func New(bytes int) *Planner {
+	return &Planner{store: newStore(bytes), topics: map[Topic]*topic{}}
+}
+
+func (p *Planner) topic(t Topic) *topic {
+	k := p.topics[t]
+	if k == nil {
+		k = &topic{}
+		p.topics[t] = k
+	}
+	return k
+}
+
+// Plan decides how a query is asked. Where two phases would not pay, each section is asked in full at once; a
+// little is spent all the same, out of credit, to notice when they would.
+func (p *Planner) Plan(a Ask) Plan {
+	t := p.topic(a.Topic)
+	plan := Plan{Steps: make([]Step, len(a.Sections))}
+	if n := len(a.Sections); n > t.most { // room to try a whole query of this size once
+		t.credit += float64(n-t.most) * 2 * t.ratio()
+		t.most = n
+	}
+	hold := t.hold(a.Aim - a.Now)
+	ratio, begin := t.ratio(), t.next
+	for i := range a.Sections {
+		i = (i + begin) % len(a.Sections)
+		no := a.Sections[i]
+		if a.Able != nil && !a.Able(no) {
+			continue
+		}
+		s := p.store.section(a.Index, no)
+		known, has := s.known(a.Text)
+		p.store.note(s, a.Text)
+		worth := 2 * ratio / (1 + ratio) // chance from which a first answer, and a version with the full one, pay
+		chance := s.empty
+		if has {
+			chance = max(s.same, s.empty)
+		}
+		switch {
+		case chance > worth && hold > 0:
+			plan.Steps[i] = First
+		case known && !has && s.signed && s.same > worth: // asked before, and what is retained tends to stand
+			plan.Steps[i] = Signed
+		case hold > 0 && t.credit >= 2*ratio:
+			t.credit -= 2 * ratio
+			t.next = (i + 1) % len(a.Sections)
+			plan.Steps[i] = First
+		}
+		if plan.Steps[i] == First {
+			plan.Hold = hold
+		}
+	}
+	return plan
+}
+
+// ratio is the cost of a first answer in full ones, from the quickest of each: their queues are the same.
+func (t *topic) ratio() float64 {
+	if t.first.n < recentLeast || t.full.n < recentLeast {
+		return firstRatio
+	}
+	full := t.full.quantile(quick)
+	if full <= 0 {
+		return 1
+	}
+	return min(1, max(leastRatio, float64(t.first.quantile(quick))/float64(full)))
+}
+
+// hold divides the time left to the aim: the full answers of those that must be asked keep what they take when
+// they are slow; of the rest, first answers have what they take when they are. 0 where that is too little.
+func (t *topic) hold(left time.Duration) time.Duration {
+	spare := left - t.full.quantile(slow)
+	if t.full.n == 0 {
+		spare = left / 2
+	}
+	if t.first.n == 0 {
+		return max(0, time.Duration(firstShare*float64(spare)))
+	}
+	if spare < t.first.quantile(slow) {
+		return 0
+	}
+	return min(spare, time.Duration(slackFactor*float64(t.first.quantile(slow))))
+}
+
+// Asked books a full part that goes out: a share of the work may be spent on trying two phases.
+func (p *Planner) Asked(k Topic) {
+	t := p.topic(k)
+	t.credit = min(t.credit+creditRate, 2*t.ratio()*float64(max(1, t.most)))
+}
+
+// Took books the latency of a served part, of its first phase or in full.
+func (p *Planner) Took(k Topic, first bool, took time.Duration) {
+	if t := p.topic(k); first {
+		t.first.add(took)
+	} else {
+		t.full.add(took)
+	}
+}
+
+// Verdict is what a first answer proves.
+type Verdict int
+
+// The verdicts.
+const (
+	Nothing   Verdict = iota // it failed, could not be read, or its replica is behind: as if not asked
+	MustAsk                  // the section may add something that is not at hand
+	Empty                    // the section has no hit
+	Unchanged                // the retained value is what the section would answer
+)
+
+func (v Verdict) String() string {
+	return [...]string{"nothing", "must ask", "empty", "unchanged"}[v]
+}
+
+// Proves tells whether a verdict stands for the section's value.
+func (v Verdict) Proves() bool { return v == Empty || v == Unchanged }
+
+// Found judges a section's first answer. Value is the retained one where it is Unchanged. Held tells that the
+// full question has not gone out: only then has the first one saved anything.
+func (p *Planner) Found(k Topic, no int, text string, ev Evidence, held bool, now time.Duration) (v Verdict, value []byte) {
+	s := p.store.section(k.Index, no)
+	_, had := s.known(text)
+	v, value = p.judge(s, text, ev, now)
+	saved := 0.0
+	if v.Proves() && held {
+		saved = 1
+	}
+	if had {
+		s.same += chanceGain * (saved - s.same)
+	} else {
+		s.empty += chanceGain * (saved - s.empty)
+	}
+	return v, value
+}
+
+func (p *Planner) judge(s *section, text string, ev Evidence, now time.Duration) (Verdict, []byte) {
+	if !ev.Read {
+		return Nothing, nil
+	}
+	s.signed = ev.Signed
+	if ev.Signed {
+		if !p.store.see(s, ev.Version, now) {
+			return Nothing, nil
+		}
+	} else if s.marked { // this replica does not say how far it is, though others do
+		return Nothing, nil
+	}
+	if ev.Matches == 0 {
+		return Empty, nil
+	}
+	if v := p.store.get(s, text); ev.Signed && v != nil && v.version == ev.Version {
+		return Unchanged, v.data
+	}
+	return MustAsk, nil
+}
+
+// Signs tells whether a full question should bring the section's version with it, after a first answer.
+func (p *Planner) Signs(k Topic, no int) bool { return p.store.section(k.Index, no).signed }
+
+// Fetched retains a full answer that came with its version, unless it is of a replica that is behind.
+func (p *Planner) Fetched(k Topic, no int, text string, ev Evidence, value []byte, now time.Duration) {
+	s := p.store.section(k.Index, no)
+	if !ev.Read || !ev.Signed { // versions went away: not asked for again before a first answer has them
+		s.signed = false
+		return
+	}
+	if p.store.see(s, ev.Version, now) {
+		p.store.put(s, text, ev.Version, value)
+	}
+}
+
+// Retained tells how many values are retained and what all of it takes.
+func (p *Planner) Retained() (values, bytes int) { return p.store.values, p.store.bytes }
+
+// String tells what has been learned of a topic, for logs.
+func (t *topic) String() string {
+	return "ratio " + strconv.FormatFloat(t.ratio(), 'f', 3, 64) + ", credit " + strconv.FormatFloat(t.credit, 'f', 2, 64)
+}
--- a/internal/opensearch/config.go
+++ b/internal/opensearch/config.go
@@ -33,14 +33,20 @@
 // Index maps an index to sections and a class.
 type Index struct {
 	Class    string          `yaml:"class"`
-	Reports  bool            `yaml:"reports"`  // takes documents, and only these
-	Sections []int           `yaml:"sections"` // first and last; all if absent
-	Weights  map[int]float64 `yaml:"weights"`  // of sections that do not weigh 1
+	Reports  bool            `yaml:"reports"`   // takes documents, and only these
+	Sections []int           `yaml:"sections"`  // first and last; all if absent
+	Weights  map[int]float64 `yaml:"weights"`   // of sections that do not weigh 1
+	TwoPhase *TwoPhase       `yaml:"two_phase"` // nil: searches are asked in one phase
 
 	name     string
 	deadline time.Duration
 }
 
+// TwoPhase switches on, for the searches of an index, a cheap first phase that finds which sections matter.
+type TwoPhase struct {
+	Version string `yaml:"version"` // numeric field; each change of a document gives it a value above all in its section
+}
+
 // LoadConfig reads the file; unknown keys are errors.
 func LoadConfig(path string) (*Config, error) {
 	data, err := os.ReadFile(path)
@@ -84,6 +90,18 @@
 		if s.Classes[i].Repeat == harepass.SingleShot && !ix.Reports {
 			return fmt.Errorf("index %s: class %s may not run twice, so the index has to take reports", name, ix.Class)
 		}
+		if t := ix.TwoPhase; t != nil {
+			switch {
+			case ix.Reports:
+				return fmt.Errorf("index %s: two_phase is for searches, and this index takes reports", name)
+			case s.Classes[i].Repeat != harepass.Free:
+				return fmt.Errorf("index %s: two_phase asks a section twice, which class %s does not bear", name, ix.Class)
+			case t.Version == "":
+				return fmt.Errorf("index %s: two_phase has to name the field that holds a document's version: version: NAME", name)
+			case strings.ContainsAny(t.Version, "*\" \t"):
+				return fmt.Errorf("index %s: two_phase: version %q is no name of a field", name, t.Version)
+			}
+		}
 		if len(ix.Sections) == 0 {
 			ix.Sections = []int{0, shards - 1}
 		}
@@ -107,6 +125,17 @@
 	return nil
 }
 
+// Firsts lists the classes of which some index has a first phase.
+func (c *Config) Firsts() (classes []string) {
+	for _, ix := range c.Indices {
+		if ix.TwoPhase != nil && !slices.Contains(classes, ix.Class) {
+			classes = append(classes, ix.Class)
+		}
+	}
+	slices.Sort(classes) // the module's order of classes is to be the same at every start
+	return classes
+}
+
 // weight of a section among the index's.
 func (ix *Index) weight(section int) float64 {
 	if w, ok := ix.Weights[section]; ok {
--- a/internal/opensearch/envelope.go
+++ b/internal/opensearch/envelope.go
@@ -125,6 +125,9 @@
 		switch {
 		case a.Values[i] != nil:
 			ans.Shards.Successful++
+			if a.Pruned[i] { // as in the API, what is skipped is successful too
+				ans.Shards.Skipped++
+			}
 			merged = append(merged, ans.Hits.add(s, p.Shard, q.ID, a.Values[i])...)
 		case a.Whole: // the class calls an answer whole without it
 			ans.Shards.Skipped++
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -180,6 +180,9 @@
 	began := f.Clock()
 	q := f.query(ix, tenant, s.timeout)
 	q.Whole, q.Text, q.Origin = !s.partial, s.body, s
+	if ix.TwoPhase != nil {
+		q.Index, q.None = ix.name, noHits
+	}
 	sum := 0.0
 	for _, n := range s.sections {
 		sum += ix.weight(n)
--- a/internal/opensearch/nodes.go
+++ b/internal/opensearch/nodes.go
@@ -165,7 +165,14 @@
 		return harepass.Reset, nil
 	}
 	n.keep(nd, to.ID, c)
-	return outcome(m, at.Origin != nil)
+	if !at.First && !at.Signed {
+		return outcome(m, at.Origin != nil)
+	}
+	at.Found = evidence(m)
+	if at.First && m.Status == 400 { // what is wrong with the request, if the client's, its full form will tell
+		return harepass.Served, nil
+	}
+	return outcome(m, false)
 }
 
 // connect takes an idle connection that still stands, or opens one.
@@ -197,6 +204,12 @@
 func (n *Nodes) request(at *core.Attempt) (*http1.Message, bool) {
 	switch q := at.Origin.(type) {
 	case *search:
+		switch {
+		case at.First:
+			return searchRequest(q.index, at, q.first), true
+		case at.Signed:
+			return searchRequest(q.index, at, q.signed), true
+		}
 		return searchRequest(q.index, at, q.body), true
 	case *report:
 		return reportRequest(q, at), true
--- a/internal/opensearch/query.go
+++ b/internal/opensearch/query.go
@@ -20,6 +20,8 @@
 	partial  bool // an answer in part will do
 	timeout  time.Duration
 	body     []byte // for each node
+	first    []byte // where the index has two phases: the first one's, and body with the section's version
+	signed   []byte
 }
 
 const (
@@ -77,6 +79,9 @@
 	body["from"], body["size"] = json.RawMessage("0"), json.RawMessage(strconv.Itoa(s.from+s.size))
 	delete(body, "timeout")
 	s.body, _ = json.Marshal(body) // raw parts of what was JSON: cannot fail
+	if ix.TwoPhase != nil {
+		s.first, s.signed = phases(ix.TwoPhase.Version, body)
+	}
 	return s, nil
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -1,13 +1,11 @@
-// Package standin has the stand-ins that tests use for outside systems: nodes that speak the platform's
-// frames, nodes that offer the OpenSearch search and index APIs, and discovery. They are written from the
-// public descriptions of what they stand for, share no code with the program and are linked into tests only.
+// Package standin has the stand-ins that tests and the laboratory use for outside systems: nodes that speak the
+// platform's frames, nodes that offer the OpenSearch search and index APIs, and discovery. They are written from
+// the public descriptions of what they stand for, share no code with the program and are no part of it.
 package standin
 
 import (
 	"bufio"
-	"context"
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -28,6 +26,7 @@
 	Reject      // turned away unseen
 	Silent      // taken and never answered
 	Break       // the connection breaks after it was taken
+	Spoil       // an answer that cannot be read
 )
 
 // Reply is a kind and when it comes.
@@ -36,14 +35,22 @@
 	After time.Duration
 }
 
-// Fleet is the nodes' common script and record.
+// Fleet is one node, or several with a common script, record and data.
 type Fleet struct {
-	Script func(shard, try int) Reply // try counts from 0 over all nodes
+	Script func(shard, try int) Reply // try counts from 0 over all nodes; nil serves all at once
+	Data   *Data                      // what searches find; nil gives each section one canned document
 
-	mu   sync.Mutex
-	asks map[int]int
-	runs map[int]int
-	seen []string
+	// Where there is data, what the work of serving a part takes: so long for each unit, on so many cores, with
+	// parts beyond that waiting their turn. 0 takes no time.
+	Unit  time.Duration
+	Cores int
+
+	mu    sync.Mutex
+	asks  map[int]int
+	runs  map[int]int
+	seen  []string
+	units float64
+	slots chan struct{}
 }
 
 // take records that a part was asked for and says what to do with it.
@@ -53,9 +60,14 @@
 	if f.asks == nil {
 		f.asks, f.runs = map[int]int{}, map[int]int{}
 	}
-	r := f.Script(shard, f.asks[shard])
+	r := Reply{}
+	if f.Script != nil {
+		r = f.Script(shard, f.asks[shard])
+	}
 	f.asks[shard]++
-	f.seen = append(f.seen, what)
+	if f.Unit == 0 { // long runs of the laboratory look at counts only
+		f.seen = append(f.seen, what)
+	}
 	if r.Kind != Reject {
 		f.runs[shard]++
 	}
@@ -69,6 +81,36 @@
 	return f.runs[shard]
 }
 
+// Units is the work done so far.
+func (f *Fleet) Units() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.units
+}
+
+// work does so many units of work, when a core is free; false if the asker left before it was begun. What has
+// begun is done to its end.
+func (f *Fleet) work(units float64, gone <-chan struct{}) bool {
+	f.mu.Lock()
+	if f.slots == nil {
+		f.slots = make(chan struct{}, max(1, f.Cores))
+	}
+	f.mu.Unlock()
+	if f.Unit > 0 {
+		select {
+		case f.slots <- struct{}{}:
+			defer func() { <-f.slots }()
+		case <-gone:
+			return false
+		}
+	}
+	f.mu.Lock()
+	f.units += units
+	f.mu.Unlock()
+	time.Sleep(time.Duration(units * float64(f.Unit)))
+	return true
+}
+
 // Seen is what was asked for, in order.
 func (f *Fleet) Seen() []string {
 	f.mu.Lock()
@@ -120,7 +162,15 @@
 		time.AfterFunc(reply.After, func() {
 			switch reply.Kind {
 			case Serve:
-				write(fmt.Sprintf("5%s S 1 -\nv%d", id, shard))
+				value := fmt.Sprintf("v%d", shard)
+				if f.Data != nil {
+					docs := f.Data.Docs(shard)
+					f.work(unitsOf(len(docs), len(docs), false), nil)
+					value, _ = idsOf(docs)
+				}
+				write(fmt.Sprintf("5%s S 1 -\n%s", id, value))
+			case Spoil:
+				write("5" + id)
 			case Fail:
 				write(fmt.Sprintf("5%s E 0 -\n", id))
 			case Reject:
@@ -132,61 +182,6 @@
 	}
 }
 
-// API serves the search and index APIs until the listener is closed.
-func (f *Fleet) API(l net.Listener) {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /{index}/_search", func(w http.ResponseWriter, r *http.Request) {
-		shard, err := strconv.Atoi(strings.TrimPrefix(r.URL.Query().Get("preference"), "_shards:"))
-		if body, _ := io.ReadAll(r.Body); err != nil || strings.Contains(string(body), "geo_shape") { // it has no such field
-			w.WriteHeader(400)
-			io.WriteString(w, `{"error":{"type":"query_shard_exception","reason":"failed to find geo field"},"status":400}`)
-			return
-		}
-		f.api(w, r, shard, 200, fmt.Sprintf(`{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},`+
-			`"hits":{"total":{"value":1,"relation":"eq"},"max_score":1.0,"hits":[{"_index":%q,"_id":"d%d","_score":1.0,"_source":{"section":%d,"body":"v%d"}}]}}`,
-			r.PathValue("index"), shard, shard, shard))
-	})
-	mux.HandleFunc("PUT /{index}/{op}/{id}", func(w http.ResponseWriter, r *http.Request) {
-		var doc struct {
-			Pin string `json:"pin"`
-		}
-		shard, err := strconv.Atoi(r.URL.Query().Get("routing"))
-		if err != nil || json.NewDecoder(r.Body).Decode(&doc) != nil {
-			w.WriteHeader(400)
-			io.WriteString(w, `{"error":{"type":"mapper_parsing_exception","reason":"failed to parse field [pin]"},"status":400}`)
-			return
-		}
-		f.api(w, r, shard, 201, fmt.Sprintf(`{"_index":%q,"_id":%q,"_version":1,"result":"created",`+
-			`"_shards":{"total":1,"successful":1,"failed":0},"_seq_no":3,"_primary_term":1}`, r.PathValue("index"), r.PathValue("id")))
-	})
-	http.Serve(l, mux)
-}
-
-func (f *Fleet) api(w http.ResponseWriter, r *http.Request, shard, status int, body string) {
-	io.Copy(io.Discard, r.Body) // only then does the server notice a client that leaves
-	reply := f.take(shard, r.Method+" "+r.URL.String())
-	if reply.Kind == Silent {
-		<-r.Context().Done()
-		return
-	}
-	select {
-	case <-time.After(reply.After):
-	case <-r.Context().Done():
-		return
-	}
-	switch reply.Kind {
-	case Break:
-		panic(http.ErrAbortHandler)
-	case Fail:
-		status, body = 500, `{"error":{"type":"exception","reason":"failed"},"status":500}`
-	case Reject:
-		status, body = 429, `{"error":{"type":"rejected_execution_exception","reason":"queue full"},"status":429}`
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	io.WriteString(w, body)
-}
-
 // Discovery answers each call with the same list; a watch is held for its time.
 func Discovery(l net.Listener, list func() string) {
 	http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -199,63 +194,3 @@
 		io.WriteString(w, list())
 	}))
 }
-
-// Net is a network in memory, for tests on a clock of their own.
-type Net struct {
-	mu        sync.Mutex
-	listeners map[string]*memListener
-}
-
-type memListener struct {
-	address string
-	conns   chan net.Conn
-	done    chan struct{}
-	once    sync.Once
-}
-
-// Listen opens an address.
-func (n *Net) Listen(address string) net.Listener {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.listeners == nil {
-		n.listeners = map[string]*memListener{}
-	}
-	l := &memListener{address: address, conns: make(chan net.Conn), done: make(chan struct{})}
-	n.listeners[address] = l
-	return l
-}
-
-// Dial connects to an address that was opened; others refuse.
-func (n *Net) Dial(ctx context.Context, address string) (net.Conn, error) {
-	n.mu.Lock()
-	l := n.listeners[address]
-	n.mu.Unlock()
-	if l == nil {
-		return nil, fmt.Errorf("connection to %s refused", address)
-	}
-	here, there := net.Pipe()
-	select {
-	case l.conns <- there:
-		return here, nil
-	case <-l.done:
-		return nil, fmt.Errorf("connection to %s refused", address)
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (l *memListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *memListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-func (l *memListener) Addr() net.Addr { return &net.UnixAddr{Name: l.address, Net: "memory"} }
