--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz run check
+.PHONY: build test lint fuzz run check demo
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -26,3 +26,9 @@
 
 check: build
 	bin/harepass check -opensearch $(SEARCH)
+
+# Emulated map nodes, a coordinator before them, and one conditions summary over every section.
+demo: build
+	@bin/lab nodes & nodes=$$!; bin/harepass serve -opensearch $(SEARCH) & harepass=$$!; \
+	trap 'kill $$nodes $$harepass; wait' EXIT; \
+	curl -sS --retry 20 --retry-delay 1 --retry-connrefused 'http://127.0.0.1:9200/conditions/_search?size=3&pretty' -H 'X-Opaque-Id: kitakaze-app'
--- /dev/null
+++ b/internal/decide/pure_test.go
@@ -0,0 +1,69 @@
+// Package decide_test keeps the decisions below this folder pure.
+package decide_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// impure lists what is wrong with a file of decisions: I/O, clocks, goroutines, randomness of its own.
+func impure(f *ast.File) (faults []string) {
+	for _, imp := range f.Imports {
+		path, _ := strconv.Unquote(imp.Path.Value)
+		switch root, _, _ := strings.Cut(path, "/"); {
+		case root == "net", root == "os", root == "sync", root == "io", root == "syscall", path == "log/slog", path == "math/rand", path == "unsafe",
+			strings.HasPrefix(path, "harepass/internal/") && !strings.HasPrefix(path, "harepass/internal/decide/"):
+			faults = append(faults, "imports "+path)
+		}
+	}
+	ast.Inspect(f, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.GoStmt:
+			faults = append(faults, "starts a goroutine")
+		case *ast.SelectorExpr:
+			if x, ok := n.X.(*ast.Ident); ok && (x.Name == "time" && strings.Contains(" Now Since Until Sleep After AfterFunc NewTimer NewTicker Tick ", " "+n.Sel.Name+" ") ||
+				x.Name == "rand" && !strings.Contains(" Rand New NewPCG Source ", " "+n.Sel.Name+" ")) {
+				faults = append(faults, "uses "+x.Name+"."+n.Sel.Name)
+			}
+		}
+		return true
+	})
+	return faults
+}
+
+func TestDecisionsArePure(t *testing.T) {
+	set, files := token.NewFileSet(), 0
+	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		files++
+		f, err := parser.ParseFile(set, path, nil, 0)
+		if err != nil {
+			return err
+		}
+		for _, fault := range impure(f) {
+			t.Errorf("%s %s", path, fault)
+		}
+		return nil
+	})
+	if err != nil || files == 0 {
+		t.Fatalf("%d files, %v", files, err)
+	}
+}
+
+func TestImpurityIsSeen(t *testing.T) {
+	for _, body := range []string{`import "net/http"`, `import "sync/atomic"`, `import "os"`, `import "harepass/internal/core"`,
+		"import \"time\"\nvar _ = time.Now()", "func f() { go f() }", "import \"math/rand/v2\"\nvar _ = rand.IntN(2)"} {
+		f, err := parser.ParseFile(token.NewFileSet(), "x.go", "package x\n"+body, 0)
+		if err != nil || len(impure(f)) == 0 {
+			t.Errorf("%q passes for pure (%v)", body, err)
+		}
+	}
+}
