Overload control: decisions, gate before the owner, guard; off by default

At three times its traffic a coordinator's own loop falls behind and every class suffers alike. internal/decide/overload admits by worth for own cost, traffic beyond a share first, hazard reports last, at a rate that follows what the loop gets done; internal/guard feeds it waits, CPU, live heap and descriptors; fronts ask it before they read a body. For want of memory retained values go, then new work, then the queries that hold most for least worth (QueryDue in the module).

--- a/aggregator.go
+++ b/aggregator.go
@@ -61,8 +61,7 @@
 	weightSlack  = 1e-6 // rounding in sums of part weights
 )
 
-const refillEvery, never = time.Second, 24 * time.Hour // the first is the design's value
-const keepGone = time.Minute                           // so long what is gone may come back as what it was
+const refillEvery, never, keepGone = time.Second, 24 * time.Hour, time.Minute // the first is the design's
 
 // New checks the settings and returns an Aggregator with nothing in hand.
 func New(seed uint64, s Settings) (*Aggregator, error) {
@@ -110,6 +109,10 @@
 			if q := a.queries[ev.ID]; q != nil {
 				a.close(q)
 			}
+		case QueryDue:
+			if q := a.queries[ev.ID]; q != nil {
+				q.end = a.now
+			}
 		case Told: // a peer's word counts as a part at the limit and as one fault: alone it makes no suspect
 			if r := a.byID[ev.Replica]; r != nil && len(ratios(r.siblings)) > 0 {
 				r.ratio += ratioGain * max(0, slowFactor*usual(r.siblings)-r.ratio)
@@ -231,9 +234,7 @@
 		rate += max(v, weightSlack)
 	}
 	for i := range equal {
-		if total > 0 {
-			equal[i] /= total
-		}
+		equal[i] /= max(total, math.SmallestNonzeroFloat64)
 		room[i] = (capFactor - floorFactor) * equal[i] * rate
 	}
 	for _, c := range order {
--- a/api.go
+++ b/api.go
@@ -174,6 +174,8 @@
 	}
 	// QueryGone tells that a client left; nothing is owed for its query any more.
 	QueryGone struct{ ID string }
+	// QueryDue tells that the root can hold a query no longer: it is to be ended now, as at the end of its time.
+	QueryDue struct{ ID string }
 	// Told brings a peer's word, which may be late, lost or wrong, that it takes a replica for ill.
 	Told struct{ Replica string }
 	// Woken answers a WakeIn.
@@ -186,6 +188,7 @@
 func (PartSettled) isEvent()  {}
 func (AttemptEnded) isEvent() {}
 func (QueryGone) isEvent()    {}
+func (QueryDue) isEvent()     {}
 func (Told) isEvent()         {}
 func (Woken) isEvent()        {}
 
--- a/cmd/harepass/config.go
+++ b/cmd/harepass/config.go
@@ -74,13 +74,14 @@
 	inventory  *inventory.Keeper
 	hosts      []core.Node
 	searchPath string
+	overload   *overloadFile // nil where overload control is off
 }
 
 // defaultSearch is the OpenSearch front's file; that front is off where it is missing.
 const defaultSearch = "deploy/opensearch.yaml"
 
 // load reads the platform's configuration, the OpenSearch front's file, or both.
-func load(getenv func(string) string, searchPath string, clock core.Clock) (*setup, error) {
+func load(getenv func(string) string, paths files, clock core.Clock) (*setup, error) {
 	s := &setup{limits: defaultLimits, seed: rand.Uint64()}
 	if getenv("PROXY_CONFIG") != "" {
 		var err error
@@ -88,16 +89,19 @@
 			return nil, err
 		}
 	}
-	s.searchPath = searchPath
-	_, err := os.Stat(searchPath)
+	s.searchPath = paths.search
+	_, err := os.Stat(paths.search)
 	switch {
 	case err == nil:
 		err = s.loadSearch(clock)
-	case errors.Is(err, os.ErrNotExist) && searchPath == defaultSearch && s.config != nil:
+	case errors.Is(err, os.ErrNotExist) && paths.search == defaultSearch && s.config != nil:
 		err = nil
-	case errors.Is(err, os.ErrNotExist) && searchPath == defaultSearch:
+	case errors.Is(err, os.ErrNotExist) && paths.search == defaultSearch:
 		err = errors.New("nothing to serve: PROXY_CONFIG is not set and there is no " + defaultSearch)
 	}
+	if err == nil {
+		s.overload, err = loadOverload(paths.overload, s.limits)
+	}
 	return s, err
 }
 
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -18,6 +18,7 @@
 	"harepass"
 	"harepass/internal/core"
 	"harepass/internal/decide/twophase"
+	"harepass/internal/guard"
 	"harepass/internal/http1"
 	"harepass/internal/inventory"
 	"harepass/internal/opensearch"
@@ -35,20 +36,24 @@
 	apiBody         = 256 << 10   // bytes of a request of the OpenSearch-style API
 )
 
+// files are those of the operators that serve and check read.
+type files struct{ search, overload string }
+
 // flags are those of serve and check.
-func flags(name string, args []string, out io.Writer) (searchPath string, err error) {
+func flags(name string, args []string, out io.Writer) (f files, err error) {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
-	fs.StringVar(&searchPath, "opensearch", defaultSearch, "the OpenSearch front's file; the front is off where the default is missing")
-	return searchPath, parse(fs, args, out)
+	fs.StringVar(&f.search, "opensearch", defaultSearch, "the OpenSearch front's file; the front is off where the default is missing")
+	fs.StringVar(&f.overload, "overload", defaultOverload, "the file of overload control, which is off where the default is missing")
+	return f, parse(fs, args, out)
 }
 
 // check reads all that serve would and starts nothing.
 func check(args []string, out io.Writer) error {
-	path, err := flags("check", args, out)
+	paths, err := flags("check", args, out)
 	if err != nil {
 		return err
 	}
-	s, err := load(os.Getenv, path, core.SystemClock())
+	s, err := load(os.Getenv, paths, core.SystemClock())
 	if err == nil {
 		_, err = core.New(core.Config{Settings: s.settings})
 	}
@@ -65,6 +70,9 @@
 			fmt.Fprintf(out, "two phases: for searches of %s, %d KiB of retained values\n", strings.Join(classes, ", "), s.limits.retained()>>10)
 		}
 	}
+	if s.overload != nil {
+		fmt.Fprintf(out, "overload control: loop delay %v, %d MB\n", s.overload.LoopDelay, s.overload.MemoryMB)
+	}
 	if s.inventory != nil {
 		fmt.Fprintf(out, "inventory: %s, %d hosts\n", s.inventory.Path, len(s.hosts))
 	}
@@ -84,14 +92,14 @@
 }
 
 func serve(args []string, out io.Writer) error {
-	path, err := flags("serve", args, out)
+	paths, err := flags("serve", args, out)
 	if err != nil {
 		return err
 	}
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	clock := core.SystemClock()
-	s, err := load(os.Getenv, path, clock)
+	s, err := load(os.Getenv, paths, clock)
 	if err != nil {
 		return usageError{err}
 	}
@@ -120,13 +128,19 @@
 	cfg := core.Config{Seed: p.seed, Settings: p.settings, Limits: core.Limits{Open: p.caps.Open, Shards: p.caps.Shards, Drain: p.drainTime()}, Clock: p.clock,
 		Callers: map[string]core.Caller{platform.Scheme: frames}, Subscribe: func() {}, Asked: inventory.Source}
 	p.closers = append(p.closers, frames.Close)
+	var watch *guard.Guard
+	if p.overload != nil {
+		watch = guard.New(p.overload.control(p.settings, p.limits, p.config != nil), p.clock)
+		cfg.Gate = watch
+	}
 	var api *opensearch.Nodes
 	if p.search != nil {
 		frames.Most = max(1, frames.Most/2)
 		api = &opensearch.Nodes{Config: p.search, Most: frames.Most, ConnectTimeout: p.caps.ConnectTimeout, KeepAlive: p.caps.KeepAlive}
 		cfg.Callers[opensearch.Scheme] = api
 		if cfg.Firsts = p.search.Firsts(); len(cfg.Firsts) > 0 {
-			cfg.Planner, cfg.Schemes = twophase.New(p.limits.retained()), map[string]bool{opensearch.Scheme: true}
+			cfg.Retained, cfg.Schemes = p.limits.retained(), map[string]bool{opensearch.Scheme: true}
+			cfg.Planner = twophase.New(cfg.Retained)
 		}
 		p.closers = append(p.closers, api.Close)
 	}
@@ -140,6 +154,10 @@
 	}
 	p.owner, frames.Owner = owner, owner
 	go owner.Run()
+	if watch != nil {
+		watch.Squeeze, watch.Descriptors = owner.Squeeze, p.descriptors
+		go watch.Run(ctx)
+	}
 	if p.inventory != nil {
 		owner.Listed(inventory.Source, harepass.ListFull, p.hosts)
 	}
@@ -168,6 +186,14 @@
 	return nil
 }
 
+// descriptors is the share of the connections that clients may hold which are in use.
+func (p *program) descriptors() (share float64) {
+	for _, s := range p.servers {
+		share = max(share, float64(s.Busy())/float64(s.Conns))
+	}
+	return share
+}
+
 func (p *program) listen(address string, s *http1.Server) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"harepass"
+	"harepass/internal/decide/overload"
 	"harepass/internal/decide/twophase"
 )
 
@@ -36,18 +37,19 @@
 
 // Query is what a front hands over. Done is called once, by the owner, and must not block.
 type Query struct {
-	ID     string // as the nodes are to see it
-	Class  string
-	Tenant string
-	Until  time.Duration // when the client gives up, on the owner's clock
-	Retry  bool
-	Whole  bool   // no answer in part is wanted
-	Text   []byte // what each part carries to its node
-	Origin any    // the front's own form of the query, for callers that know it
-	Index  string // not empty where it may be asked in two phases: what its sections' values are kept under
-	None   []byte // then: the value of a section without any hit
-	Parts  []Part
-	Done   func(Answer)
+	ID       string // as the nodes are to see it
+	Class    string
+	Tenant   string
+	Until    time.Duration // when the client gives up, on the owner's clock
+	Retry    bool
+	Whole    bool   // no answer in part is wanted
+	Text     []byte // what each part carries to its node
+	Origin   any    // the front's own form of the query, for callers that know it
+	Admitted bool   // by the gate, as its head told: not counted there again
+	Index    string // not empty where it may be asked in two phases: what its sections' values are kept under
+	None     []byte // then: the value of a section without any hit
+	Parts    []Part
+	Done     func(Answer)
 }
 
 // Part is a query's share in one shard.
@@ -137,6 +139,9 @@
 	Planner *twophase.Planner
 	Firsts  []string        // classes whose queries may have a first phase
 	Schemes map[string]bool // whose callers know of it
+
+	Gate     Gate // nil admits all
+	Retained int  // bytes that the Planner may retain while memory does not run short
 }
 
 const (
@@ -154,7 +159,7 @@
 type Owner struct {
 	cfg   Config
 	agg   *harepass.Aggregator
-	queue chan message
+	queue chan posted
 	phase atomic.Int32
 	done  chan struct{}
 	ready chan struct{} // closed once the phase has left Starting
@@ -172,6 +177,8 @@
 	deadlines deadlines
 	wake      *deadline
 	held      int           // queries and parts open
+	bytes     int64         // held for them, as far as it is counted
+	waited    Turn          // of the present turn
 	drainEnd  time.Duration // once it drains: by then all has to be answered
 	list      bool          // discovery has answered, be it with a refusal
 	ending    bool          // to stop when nothing is open
@@ -186,6 +193,7 @@
 	*Query
 	id     string
 	number int64
+	bytes  int64
 	parts  []*part
 	due    *deadline
 	first  *first // nil in one phase
@@ -217,7 +225,7 @@
 			return nil, fmt.Errorf("%w: %s", ErrSecondStep, c.Name)
 		}
 	}
-	return &Owner{cfg: cfg, agg: agg, queue: make(chan message, queueSize), done: make(chan struct{}),
+	return &Owner{cfg: cfg, agg: agg, queue: make(chan posted, queueSize), done: make(chan struct{}),
 		ready: make(chan struct{}), queries: map[string]*query{}, byQuery: map[*Query]*query{},
 		ids: map[string]struct{}{}, parts: map[string]*part{}, firsts: map[string]*first{}, ables: map[int]bool{}, nodes: map[string]listedNode{}, deadlines: newDeadlines()}, nil
 }
@@ -225,6 +233,12 @@
 // message is something that another goroutine tells the owner.
 type message interface{ apply(*Owner) }
 
+// posted is a message with the time at which it was.
+type posted struct {
+	message
+	at time.Duration
+}
+
 type (
 	submitted struct{ q *Query }
 	left      struct{ q *Query }
@@ -248,7 +262,7 @@
 		return false
 	}
 	select {
-	case o.queue <- submitted{q}:
+	case o.queue <- posted{submitted{q}, o.cfg.Clock()}:
 		return true
 	default:
 		return false
@@ -272,7 +286,7 @@
 // post waits for room: socket goroutines may, the owner never posts.
 func (o *Owner) post(m message) {
 	select {
-	case o.queue <- m:
+	case o.queue <- posted{m, o.cfg.Clock()}:
 	case <-o.done:
 	}
 }
@@ -294,18 +308,23 @@
 }
 
 // turn applies what has come in, sweeps the deadlines, and lets the module decide.
-func (o *Owner) turn(first ...message) {
+func (o *Owner) turn(first ...posted) {
 	o.now = max(o.now, o.cfg.Clock())
 	for _, m := range first {
-		m.apply(o)
+		o.take(m)
 	}
 	for n := len(o.queue); n > 0; n-- {
-		m := <-o.queue
-		m.apply(o)
+		o.take(<-o.queue)
 	}
 	o.sweep()
 	o.step()
 	o.advance()
+	o.tell()
+}
+
+func (o *Owner) take(m posted) {
+	o.wait(o.now - m.at)
+	m.apply(o)
 }
 
 // step runs the module until what it asks for has no outcome at once.
@@ -336,6 +355,7 @@
 	o.next++
 	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10), number: o.next}
 	o.queries[q.id], o.byQuery[m.q] = q, q
+	o.hold(q, int64(queryBytes+len(q.Text)+partBytes*len(q.Parts)))
 	q.due = o.deadlines.add(q.Until+overdue, func() { o.overdue(q) })
 	o.ids[q.ID] = struct{}{}
 	o.deadlines.add(q.Until+overdue+abandonWait, func() { delete(o.ids, q.ID) })
@@ -422,6 +442,10 @@
 	delete(o.queries, q.id)
 	delete(o.byQuery, q.Query)
 	o.held -= 1 + len(q.parts)
+	o.bytes -= q.bytes
+	if o.cfg.Gate != nil {
+		o.cfg.Gate.Done(len(q.parts))
+	}
 	o.endFirst(q)
 	for _, p := range q.parts {
 		o.forget(p)
@@ -453,6 +477,9 @@
 	}
 	if outcome == harepass.Served && at.part.value == nil && !at.First {
 		at.part.value = value
+		if q := at.part.q; o.queries[q.id] != nil {
+			o.hold(q, int64(len(value)))
+		}
 	}
 	took := max(0, when-at.sent)
 	o.events = append(o.events, harepass.AttemptEnded{Part: at.part.id, Attempt: at.no, Replica: at.Node,
@@ -604,6 +631,11 @@
 	if reason := o.check(q); reason != "" {
 		return Answer{Verdict: Invalid, Reason: reason}
 	}
+	if !q.Admitted {
+		if ok, retryIn := o.Admit(overload.Arrival{Class: q.Class, Tenant: q.Tenant, Retry: q.Retry, Parts: len(q.Parts)}); !ok {
+			return Answer{Verdict: Refused, RetryIn: retryIn}
+		}
+	}
 	answers := make(chan Answer, 1)
 	q.Done = func(a Answer) { answers <- a }
 	if !o.Submit(q) {
--- a/internal/core/deadlines.go
+++ b/internal/core/deadlines.go
@@ -45,6 +45,7 @@
 			return
 		}
 		o.deadlines.tree.DeleteMin()
+		o.wait(o.now - dl.at)
 		dl.run()
 	}
 }
--- /dev/null
+++ b/internal/decide/overload/overload.go
@@ -0,0 +1,308 @@
+// Package overload decides which arriving queries a coordinator refuses so that its own loop, CPU and memory
+// do not fall behind: the least worth for their cost first, traffic beyond a tenant's share before any within
+// it, and queries that may not run twice last. It has no I/O, no clock and no randomness of its own;
+// docs/design/overload.md has the controllers weighed.
+//
+// It knows nothing of map nodes: whether they keep up is the decision module's to judge. A Controller is for one
+// goroutine at a time. Instants are readings of any clock that never goes back.
+package overload
+
+import (
+	"math"
+	"time"
+)
+
+// Config is what an installation has and wants. Times and bytes of 0 or less are no limit.
+type Config struct {
+	Target   time.Duration // the mean wait for the loop that is aimed at
+	Cores    float64
+	Memory   int64         // bytes that may be in use
+	MaxRetry time.Duration // longest advice to the refused
+	Classes  []Class
+	Tenants  []Tenant       // none where traffic has no shares
+	Rand     func() float64 // in [0, 1), for spreading the refused
+}
+
+// Class is a class of queries.
+type Class struct {
+	Name  string
+	Worth float64
+	Kept  bool    // may not run twice: refused last
+	Parts float64 // usual number, where an arrival does not tell; at least 1
+}
+
+// Tenant has a share of the traffic: queries a second at this coordinator.
+type Tenant struct {
+	Name  string
+	Share float64
+}
+
+// Tunables: ratios and counts; times follow from the target.
+const (
+	windowTargets = 4.0  // a window, in targets: long enough for a mean, short enough for a rush
+	depthTargets  = 6.0  // the bucket's depth, as time at the admitted rate
+	drainTargets  = 20.0 // time in which what waits beyond the aim is to be worked off, in targets
+	leastCut      = 0.4  // of the rate got done, whatever waits
+	growth        = 1.04 // of the rate in a window that is calm although queries were refused
+	calm          = 0.5  // share of the target that is aimed at, so that the target itself is seldom passed
+	leastRate     = 0.05 // of the most that was ever got done
+	releaseAfter  = 20   // calm windows without a refusal after which nothing is limited any more
+	doneGain      = 0.2  // weight of a window in the rate got done
+	cpuFull       = 0.97 // share of the cores from which the rate does not grow
+	costGain      = 0.05 // weight of a window in what a query and a part cost
+	retryLoss     = 0.02 // of its score: a retry has less time left
+	overScore     = 0.15 // most that traffic beyond its tenant's share scores
+	lowScore      = 0.25 // least score of traffic within it
+	burstSeconds  = 1.0  // a tenant may run ahead of its share by so much
+	burstLeast    = 3.0  // and by so many queries, for a few meet by chance
+	spreadRoom    = 0.25 // of the rate that the refused may take when they come back
+	leastRetry    = 10.0 // shortest advice, in targets
+	stallFactor   = 3.0  // windows after which a late look says that the process itself stood still
+)
+
+// Arrival is a query as far as its head tells. Parts is 0 where that is not known yet.
+type Arrival struct {
+	Class, Tenant string
+	Retry         bool
+	Parts         int
+}
+
+// Decision on an arrival. RetryIn is for refused ones.
+type Decision struct {
+	OK      bool
+	RetryIn time.Duration
+}
+
+// Controller admits and refuses. Use New.
+type Controller struct {
+	cfg     Config
+	classes map[string]*class
+	tenants map[string]*tenant
+
+	limited  bool
+	rate     float64 // cost a second that may be admitted, while limited
+	tokens   float64
+	tokensAt time.Duration
+	done     float64 // cost a second that is got done, a moving mean
+	most     float64 // the most of it
+	calmRun  int
+
+	window  window
+	level   Level
+	levelAt time.Duration
+	memory  Memory
+	cost    cost
+}
+
+type class struct {
+	Class
+	score float64 // worth for its cost, scaled to [lowScore, 1]
+	parts float64 // of the arrivals that told, a moving mean
+}
+
+type tenant struct {
+	share, room, tokens float64
+	at                  time.Duration
+}
+
+// window counts between two looks.
+type window struct {
+	begun            time.Duration
+	admitted, denied float64 // cost
+	done             float64
+	queries, parts   float64
+	refusals         float64
+	lowest           float64 // score of the best that was refused
+	highest          bool    // something kept was refused
+}
+
+// New returns a Controller that limits nothing yet.
+func New(cfg Config) *Controller {
+	c := &Controller{cfg: cfg, classes: map[string]*class{}, tenants: map[string]*tenant{}, cost: newCost()}
+	for _, k := range cfg.Classes {
+		c.classes[k.Name] = &class{Class: k, parts: max(1, k.Parts)}
+	}
+	for _, t := range cfg.Tenants {
+		room := max(burstSeconds*t.Share, burstLeast)
+		c.tenants[t.Name] = &tenant{share: t.Share, room: room, tokens: room}
+	}
+	c.rank()
+	return c
+}
+
+// rank scores the classes by their worth for what they cost this coordinator. Those kept come first.
+func (c *Controller) rank() {
+	best := 0.0
+	for _, k := range c.classes {
+		if !k.Kept {
+			best = max(best, k.Worth/c.cost.of(k.parts))
+		}
+	}
+	for _, k := range c.classes {
+		k.score = 1
+		if !k.Kept && best > 0 {
+			k.score = lowScore + (0.9-lowScore)*k.Worth/c.cost.of(k.parts)/best
+		}
+	}
+}
+
+// within books an arrival against its tenant's share and tells whether it lies within it. What is kept draws on the
+// share first, as far ahead as others may save up. This is a standing only: nothing is refused for it while
+// there is room, and the module's own count is of what it is handed.
+func (c *Controller) within(name string, kept, retry bool, now time.Duration) bool {
+	t := c.tenants[name]
+	if t == nil {
+		return len(c.tenants) == 0
+	}
+	t.tokens = min(t.room, t.tokens+t.share*(now-t.at).Seconds())
+	t.at = now
+	if t.tokens < 1 && !(kept && t.tokens >= 1-t.room) {
+		return false
+	}
+	if !retry { // it belongs to a query that was counted
+		t.tokens--
+	}
+	return true
+}
+
+// Score is an arrival's standing: 1 is refused last.
+func (c *Controller) score(k *class, in, retry bool) float64 {
+	s := k.score
+	if !in {
+		s *= overScore
+	}
+	if retry {
+		s -= retryLoss
+	}
+	return max(0, s)
+}
+
+// Admit decides on an arrival. Unknown classes are admitted: what is wrong with them is for others to say.
+func (c *Controller) Admit(a Arrival, now time.Duration) Decision {
+	k := c.classes[a.Class]
+	if k == nil {
+		return Decision{OK: true}
+	}
+	parts := k.parts
+	if a.Parts > 0 {
+		parts = float64(a.Parts)
+		k.parts += costGain * (parts - k.parts)
+	}
+	in := c.within(a.Tenant, k.Kept, a.Retry, now)
+	cost, score := c.cost.of(parts), c.score(k, in, a.Retry)
+	kept := k.Kept && in
+	if c.memory >= RefuseNew && !(kept && c.memory == RefuseNew) || c.limited && !c.take(cost, score, kept, now) {
+		c.window.denied += cost
+		c.window.refusals++
+		c.window.lowest = max(c.window.lowest, score)
+		c.window.highest = c.window.highest || kept
+		return Decision{RetryIn: c.advice(now)}
+	}
+	c.window.admitted += cost
+	c.window.queries++
+	c.window.parts += parts
+	return Decision{OK: true}
+}
+
+// take draws the cost from the bucket. An arrival leaves it filled in proportion to what it lacks in score, so the
+// less worth are refused while there is still room for the others; what is kept may overdraw it.
+func (c *Controller) take(cost, score float64, kept bool, now time.Duration) bool {
+	depth := c.rate * depthTargets * c.cfg.Target.Seconds()
+	c.tokens = min(depth, c.tokens+c.rate*max(0, now-c.tokensAt).Seconds())
+	c.tokensAt = now
+	least := (1 - score) * depth
+	if kept {
+		least = -depth
+	}
+	if c.tokens-cost < least {
+		return false
+	}
+	c.tokens -= cost
+	return true
+}
+
+// advice spreads the refused over as long as it takes a share of the rate to serve those refused lately.
+func (c *Controller) advice(now time.Duration) time.Duration {
+	least := leastRetry * c.cfg.Target.Seconds()
+	spread := least
+	if room := spreadRoom * max(c.rate, c.done); room > 0 {
+		spread = max(least, c.window.denied/room)
+	}
+	d := time.Duration((least + spread*c.cfg.Rand()) * float64(time.Second))
+	if c.cfg.MaxRetry > 0 {
+		d = min(d, c.cfg.MaxRetry)
+	}
+	return d
+}
+
+// Done books an admitted query that has had its final answer, with its parts.
+func (c *Controller) Done(parts int) { c.window.done += c.cost.of(float64(parts)) }
+
+// Signals is what is seen of the process since the last look.
+type Signals struct {
+	Wait        time.Duration // mean wait for the loop
+	CPU         float64       // cores in use
+	Live, Held  int64         // bytes: of the live heap, and held for queries as counted
+	Descriptors float64       // share of those there may be
+	Open        float64       // share of the queries and parts that may be open
+}
+
+// Window is how far apart looks should be.
+func (c *Controller) Window() time.Duration {
+	return time.Duration(windowTargets * float64(c.cfg.Target))
+}
+
+// Look takes the signals, moves the limits and tells whether the level changed. It comes once a window; sooner where
+// the wait is already far over the target.
+func (c *Controller) Look(s Signals, now time.Duration) (changed bool) {
+	w := c.window
+	span := now - w.begun
+	if span <= 0 {
+		return false
+	}
+	c.window = window{begun: now}
+	stood := w.begun > 0 && span > time.Duration(stallFactor*float64(c.Window()))
+	if !stood { // what is seen after standing still tells of that, not of the load
+		c.done += doneGain * (w.done/span.Seconds() - c.done)
+		c.most = max(c.most, c.done)
+		c.cost.learn(s.CPU*span.Seconds(), w.queries, w.parts, w.refusals)
+		c.rank()
+		c.move(s, w, now)
+	}
+	c.memory = c.memory.next(s, c.cfg.Memory)
+	return c.relevel(s, w, now)
+}
+
+// move sets the rate. While the loop is behind it gets done what it can: that is what may come in, less what works
+// off those that wait. In a calm window the rate grows, as long as something is refused.
+func (c *Controller) move(s Signals, w window, now time.Duration) {
+	behind := s.Wait.Seconds() - calm*c.cfg.Target.Seconds()
+	crowd := max(s.Descriptors, s.Open) > crowded
+	switch {
+	case !c.limited && s.Wait > c.cfg.Target:
+		c.limited, c.tokens, c.tokensAt = true, 0, now
+		fallthrough
+	case c.limited && behind > 0:
+		c.rate = max(c.done*max(leastCut, 1-behind/(drainTargets*c.cfg.Target.Seconds())), leastRate*c.most)
+		c.calmRun = 0
+	case c.limited && w.denied > 0:
+		c.calmRun = 0
+		if s.CPU < cpuFull*c.cfg.Cores && !crowd {
+			c.rate = max(c.rate, c.done) * growth
+		}
+	case c.limited:
+		if c.calmRun++; c.calmRun >= releaseAfter {
+			c.limited = false
+		}
+	}
+}
+
+const crowded = 0.9 // share of descriptors, or of open queries, from which the rate does not grow
+
+// Limited tells the cost a second that is admitted, in seconds of one core; infinite while nothing is limited.
+func (c *Controller) Limited() float64 {
+	if !c.limited {
+		return math.Inf(1)
+	}
+	return c.rate
+}
--- a/internal/decide/twophase/store.go
+++ b/internal/decide/twophase/store.go
@@ -104,6 +104,10 @@
 	if e.data != nil {
 		st.values++
 	}
+	st.trim()
+}
+
+func (st *store) trim() {
 	for st.bytes > st.limit {
 		st.drop(st.used.Back().Value.(*entry))
 	}
--- a/internal/decide/twophase/twophase.go
+++ b/internal/decide/twophase/twophase.go
@@ -245,5 +245,11 @@
 	}
 }
 
+// Limit changes how many bytes may be retained, and lets go what is over it.
+func (p *Planner) Limit(bytes int) {
+	p.store.limit = bytes
+	p.store.trim()
+}
+
 // Retained tells how many values are retained and what all of it takes.
 func (p *Planner) Retained() (values, bytes int) { return p.store.values, p.store.bytes }
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -127,6 +127,18 @@
 	return s.full() && s.least() == nil
 }
 
+// Busy is how many connections have a request under way.
+func (s *Server) Busy() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.open > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Drain makes every further answer the last one of its connection.
 func (s *Server) Drain() {
 	s.mu.Lock()
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"harepass/internal/core"
+	"harepass/internal/decide/overload"
 	"harepass/internal/http1"
 )
 
@@ -151,12 +152,12 @@
 	return nil
 }
 
-// query is the core's query for an index; timeout 0 leaves the client its class's whole time.
+// query is the core's query for an index, of a client that the gate has let in; timeout 0 leaves the client its class's whole time.
 func (f *Front) query(ix *Index, tenant string, timeout time.Duration) *core.Query {
 	if timeout == 0 || timeout > ix.deadline {
 		timeout = ix.deadline
 	}
-	return &core.Query{ID: fmt.Sprintf("%016x", rand.Uint64()), Class: ix.Class, Tenant: tenant, Until: f.Clock() + timeout}
+	return &core.Query{ID: fmt.Sprintf("%016x", rand.Uint64()), Class: ix.Class, Tenant: tenant, Until: f.Clock() + timeout, Admitted: true}
 }
 
 func (f *Front) search(req *http1.Message, name string, params url.Values, gone <-chan struct{}) (*http1.Message, *apiError) {
@@ -173,6 +174,9 @@
 	if err := checkParams(req, params, searchParams); err != nil {
 		return nil, err
 	}
+	if ok, retryIn := f.Owner.Admit(overload.Arrival{Class: ix.Class, Tenant: tenant}); !ok {
+		return refusal(retryIn), nil
+	}
 	s, err := f.Config.parseSearch(ix, params, req.Body)
 	if err != nil {
 		return nil, err
@@ -225,6 +229,9 @@
 	if err := checkParams(req, params, reportParams); err != nil {
 		return nil, err
 	}
+	if ok, retryIn := f.Owner.Admit(overload.Arrival{Class: ix.Class, Tenant: tenant, Parts: 1}); !ok {
+		return refusal(retryIn), nil
+	}
 	r, err := f.parseReport(ix, words, params, req.Body)
 	if err != nil {
 		return nil, err
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -11,6 +11,7 @@
 	"unicode/utf8"
 
 	"harepass/internal/core"
+	"harepass/internal/decide/overload"
 	"harepass/internal/http1"
 )
 
@@ -60,18 +61,21 @@
 }
 
 func (f *Front) query(req *http1.Message, gone <-chan struct{}) *http1.Message {
-	q, err := f.parse(req)
+	q, err := f.head(req)
 	if err != nil {
 		return text(400, err.Error())
 	}
+	ok, retryIn := f.Owner.Admit(overload.Arrival{Class: q.Class, Tenant: q.Tenant, Retry: q.Retry})
+	if q.Admitted = ok; !ok {
+		return refusal(retryIn)
+	}
+	if err := parseBody(q, req.Body); err != nil {
+		return text(400, err.Error())
+	}
 	a := f.Owner.Ask(q, gone)
 	switch a.Verdict {
 	case core.Refused:
-		m := text(429, "refused")
-		if a.RetryIn > 0 {
-			m.Header.Set("Retry-After", strconv.FormatFloat(a.RetryIn.Seconds(), 'f', -1, 64))
-		}
-		return m
+		return refusal(a.RetryIn)
 	case core.Failed:
 		return text(500, "failed")
 	case core.Invalid:
@@ -90,11 +94,19 @@
 	return &http1.Message{Status: 200, Header: textproto.MIMEHeader{"Content-Type": {"application/json"}}, Body: data}
 }
 
+func refusal(retryIn time.Duration) *http1.Message {
+	m := text(429, "refused")
+	if retryIn > 0 {
+		m.Header.Set("Retry-After", strconv.FormatFloat(retryIn.Seconds(), 'f', -1, 64))
+	}
+	return m
+}
+
 // headers are those of a query; each stands once at most.
 var headers = []string{"X-Call-Id", "X-Call-Class", "X-Caller", "X-Budget", "X-Again"}
 
-// parse reads what this protocol alone words; what any query has to be is for the core to check.
-func (f *Front) parse(req *http1.Message) (*core.Query, error) {
+// head reads what this protocol alone words, and parseBody the rest; what any query has to be is for the core to check.
+func (f *Front) head(req *http1.Message) (*core.Query, error) {
 	for _, h := range headers {
 		if len(req.Header[h]) > 1 {
 			return nil, fmt.Errorf("%s more than once", h)
@@ -107,24 +119,28 @@
 		return nil, err
 	}
 	q.Until = f.Clock() + budget
+	return q, nil
+}
+
+func parseBody(q *core.Query, data []byte) error {
 	var body queryBody
-	if !utf8.Valid(req.Body) { // decoding would change the text that the parts carry
-		return nil, fmt.Errorf("bad body: not UTF-8")
+	if !utf8.Valid(data) { // decoding would change the text that the parts carry
+		return fmt.Errorf("bad body: not UTF-8")
 	}
-	if err := json.Unmarshal(req.Body, &body); err != nil {
-		return nil, fmt.Errorf("bad body: %w", err)
+	if err := json.Unmarshal(data, &body); err != nil {
+		return fmt.Errorf("bad body: %w", err)
 	}
 	if body.Filter == nil {
-		return nil, fmt.Errorf("no filter")
+		return fmt.Errorf("no filter")
 	}
 	q.Text = []byte(*body.Filter)
 	for _, s := range body.Slices {
 		if s.Slice == nil || s.Mass == nil {
-			return nil, fmt.Errorf("a slice without its number or mass")
+			return fmt.Errorf("a slice without its number or mass")
 		}
 		q.Parts = append(q.Parts, core.Part{Shard: *s.Slice, Weight: *s.Mass})
 	}
-	return q, nil
+	return nil
 }
 
 const longestBudget = time.Hour
--- a/internal/platform/front_test.go
+++ b/internal/platform/front_test.go
@@ -65,7 +65,11 @@
 			t.Errorf("%s %s %s %v: %d %s, want %d %s", tc.req.Method, tc.req.Target, tc.req.Body, tc.req.Header, m.Status, m.Body, tc.status, tc.want)
 		}
 	}
-	q, err := f.parse(request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "250000u", "X-Again", "1", "X-Caller", "acme", "X-Call-Class", "c"))
+	whole := request("POST", "/api", good, "X-Call-Id", "a", "X-Budget", "250000u", "X-Again", "1", "X-Caller", "acme", "X-Call-Class", "c")
+	q, err := f.head(whole)
+	if err == nil {
+		err = parseBody(q, whole.Body)
+	}
 	if left := q.Until - f.Clock(); err != nil || left <= 0 || left > 250*time.Millisecond || !q.Retry || q.Tenant != "acme" ||
 		q.Class != "c" || string(q.Text) != "f" {
 		t.Errorf("%+v, %v", q, err)
