Overload experiment, load tool; idle client connections kept in a list

The experiment showed that refusals were the overload: with some thousand client connections, each answer walked all of them to find the longest idle one (http1's trim), so a refusal cost more than a query; they are now in a list by time.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -24,7 +26,7 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Emulated map nodes, and experiments on the coordinator",
 		SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(run(), nodes(), mountain())
+	c.AddCommand(run(), nodes(), mountain(), load(), coordinator())
 	return c
 }
 
@@ -64,3 +66,32 @@
 	c.Flags().IntVar(&trails, "trails", 8, "trails of a section")
 	return c
 }
+
+func load() *cobra.Command {
+	var out string
+	c := &cobra.Command{Use: "load PLAN.yaml", Short: "Plays open-loop traffic against an OpenSearch-style front on a loopback address", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			plan, err := lab.LoadLoadPlan(args[0])
+			if err != nil {
+				return err
+			}
+			res, err := plan.Run(cmd.Context(), cmd.ErrOrStderr())
+			if err != nil {
+				return err
+			}
+			if out != "" {
+				res.Name = strings.TrimSuffix(filepath.Base(out), ".json")
+				if err := res.Write(out); err != nil {
+					return err
+				}
+			}
+			return res.Print(cmd.OutOrStdout())
+		}}
+	c.Flags().StringVarP(&out, "out", "o", "", "file for the result as JSON, for lab report")
+	return c
+}
+
+func coordinator() *cobra.Command {
+	return &cobra.Command{Use: lab.ServeCommand, Hidden: true, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return lab.Serve(cmd.InOrStdin(), cmd.OutOrStdout()) }}
+}
--- a/internal/decide/overload/overload.go
+++ b/internal/decide/overload/overload.go
@@ -43,12 +43,17 @@
 	depthTargets  = 6.0  // the bucket's depth, as time at the admitted rate
 	drainTargets  = 20.0 // time in which what waits beyond the aim is to be worked off, in targets
 	leastCut      = 0.4  // of the rate got done, whatever waits
-	growth        = 1.04 // of the rate in a window that is calm although queries were refused
+	farTargets    = 3.0  // a wait of so many targets is far behind
+	nearAble      = 0.7  // share of what the loop could do of late from which the rate grows slowly
+	quickGrowth   = 1.1  // of the rate in a window that is calm although queries were refused
+	growth        = 1.03 // the same, near to what the loop could do
 	calm          = 0.5  // share of the target that is aimed at, so that the target itself is seldom passed
 	leastRate     = 0.05 // of the most that was ever got done
 	releaseAfter  = 20   // calm windows without a refusal after which nothing is limited any more
 	doneGain      = 0.2  // weight of a window in the rate got done
+	ableKeep      = 0.99 // part of the most that was got done of late that is kept in a window
 	cpuFull       = 0.97 // share of the cores from which the rate does not grow
+	cpuSpare      = 0.8  // and under which it grows quickly
 	costGain      = 0.05 // weight of a window in what a query and a part cost
 	retryLoss     = 0.02 // of its score: a retry has less time left
 	overScore     = 0.15 // most that traffic beyond its tenant's share scores
@@ -84,7 +89,8 @@
 	tokens   float64
 	tokensAt time.Duration
 	done     float64 // cost a second that is got done, a moving mean
-	most     float64 // the most of it
+	able     float64 // the most of it of late: what the loop can do, also when less is asked of it
+	most     float64 // the most of it ever
 	calmRun  int
 
 	window  window
@@ -261,9 +267,13 @@
 		return false
 	}
 	c.window = window{begun: now}
-	stood := w.begun > 0 && span > time.Duration(stallFactor*float64(c.Window()))
+	if w.begun == 0 { // the first look: nothing is known of the time before it
+		return false
+	}
+	stood := span > time.Duration(stallFactor*float64(c.Window()))
 	if !stood { // what is seen after standing still tells of that, not of the load
 		c.done += doneGain * (w.done/span.Seconds() - c.done)
+		c.able = max(c.done, ableKeep*c.able)
 		c.most = max(c.most, c.done)
 		c.cost.learn(s.CPU*span.Seconds(), w.queries, w.parts, w.refusals)
 		c.rank()
@@ -273,22 +283,31 @@
 	return c.relevel(s, w, now)
 }
 
-// move sets the rate. While the loop is behind it gets done what it can: that is what may come in, less what works
-// off those that wait. In a calm window the rate grows, as long as something is refused.
+// move sets the rate. While the loop is behind it is cut in proportion, by what works off in time those that wait; far
+// behind, it is also no more than what is got done, for then each query costs more than before. In a calm window it
+// grows as long as something is refused, the faster the farther it is from what the loop could do of late.
 func (c *Controller) move(s Signals, w window, now time.Duration) {
-	behind := s.Wait.Seconds() - calm*c.cfg.Target.Seconds()
-	crowd := max(s.Descriptors, s.Open) > crowded
+	target := c.cfg.Target.Seconds()
+	behind := s.Wait.Seconds() - calm*target
 	switch {
 	case !c.limited && s.Wait > c.cfg.Target:
-		c.limited, c.tokens, c.tokensAt = true, 0, now
+		c.limited, c.rate, c.tokens, c.tokensAt = true, c.able, 0, now
 		fallthrough
 	case c.limited && behind > 0:
-		c.rate = max(c.done*max(leastCut, 1-behind/(drainTargets*c.cfg.Target.Seconds())), leastRate*c.most)
+		if s.Wait.Seconds() > farTargets*target {
+			c.rate = min(c.rate, c.done)
+		}
+		c.rate = max(min(c.rate, c.able)*max(leastCut, 1-behind/(drainTargets*target)), leastRate*c.most)
 		c.calmRun = 0
 	case c.limited && w.denied > 0:
 		c.calmRun = 0
-		if s.CPU < cpuFull*c.cfg.Cores && !crowd {
-			c.rate = max(c.rate, c.done) * growth
+		if s.CPU >= cpuFull*c.cfg.Cores || max(s.Descriptors, s.Open) > crowded {
+			break
+		}
+		if c.rate < nearAble*c.able || s.CPU < cpuSpare*c.cfg.Cores {
+			c.rate *= quickGrowth
+		} else {
+			c.rate *= growth
 		}
 	case c.limited:
 		if c.calmRun++; c.calmRun >= releaseAfter {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"container/list"
 	"errors"
 	"io"
 	"log/slog"
@@ -38,6 +39,8 @@
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
+	idle     *list.List // of the used ones without an open request, the longest idle first
+	busy     int        // those with one
 	draining bool
 	wg       sync.WaitGroup
 }
@@ -46,10 +49,11 @@
 	net.Conn
 	s        *Server
 	accepted time.Time
-	open     int       // requests between their first byte and their answer
-	whole    int       // those of them that have come in whole
-	used     bool      // some request has come in whole
-	since    time.Time // when it last became idle, or began a request
+	open     int           // requests between their first byte and their answer
+	whole    int           // those of them that have come in whole
+	used     bool          // some request has come in whole
+	since    time.Time     // when it last became idle, or began a request
+	at       *list.Element // among the idle ones
 }
 
 // Serve accepts until the listener is closed.
@@ -83,11 +87,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
-		s.conns = map[*conn]struct{}{}
+		s.conns, s.idle = map[*conn]struct{}{}, list.New()
 	}
 	if s.full() {
 		if least := s.least(); least != nil {
-			delete(s.conns, least)
+			s.forget(least)
 			least.Close()
 		}
 	}
@@ -128,15 +132,10 @@
 }
 
 // Busy is how many connections have a request under way.
-func (s *Server) Busy() (n int) {
+func (s *Server) Busy() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.conns {
-		if c.open > 0 {
-			n++
-		}
-	}
-	return n
+	return s.busy
 }
 
 // Drain makes every further answer the last one of its connection.
@@ -164,7 +163,10 @@
 func (c *conn) begin() {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	c.open++
+	if c.open++; c.open == 1 {
+		c.s.busy++
+	}
+	c.rest(false)
 	c.since = time.Now()
 	until := c.since.Add(requestTime)
 	if !c.used {
@@ -186,26 +188,37 @@
 	defer c.s.mu.Unlock()
 	c.open, c.whole = c.open-1, max(0, c.whole-1) // what could not be read was never whole
 	if c.open == 0 {
+		c.s.busy--
 		c.since = time.Now()
 		c.SetReadDeadline(c.since.Add(keepTime))
+		c.rest(true)
 		c.s.trim()
 	}
 }
 
+// rest enters the connection among the idle ones, or takes it out, under the lock.
+func (c *conn) rest(idle bool) {
+	if c.at != nil {
+		c.s.idle.Remove(c.at)
+		c.at = nil
+	}
+	if _, held := c.s.conns[c]; held && idle && c.used {
+		c.at = c.s.idle.PushBack(c)
+	}
+}
+
+// forget takes a connection off the books, under the lock.
+func (s *Server) forget(c *conn) {
+	c.rest(false)
+	delete(s.conns, c)
+}
+
 // trim closes, under the lock, the longest idle connection where too many are kept. Clients that ask once and
 // stay would else hold so many that none is left for those who come next.
 func (s *Server) trim() {
-	var longest *conn
-	idle := 0
-	for c := range s.conns {
-		if c.used && c.open == 0 {
-			if idle++; longest == nil || c.since.Before(longest.since) {
-				longest = c
-			}
-		}
-	}
-	if s.Idle > 0 && idle > s.Idle {
-		delete(s.conns, longest)
+	if s.Idle > 0 && s.idle.Len() > s.Idle {
+		longest := s.idle.Front().Value.(*conn)
+		s.forget(longest)
 		longest.Close()
 	}
 }
@@ -224,7 +237,10 @@
 		close(done)
 		c.Close()
 		c.s.mu.Lock()
-		delete(c.s.conns, c)
+		c.s.forget(c)
+		if c.open > 0 { // it ended before its answer
+			c.s.busy--
+		}
 		c.s.mu.Unlock()
 	}()
 	go c.read(in, gone, done)
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -18,6 +19,7 @@
 // Experiments are all there are.
 var Experiments = []Experiment{
 	{"two-phase", "the same mornings in one phase and in two, without failures and with", TwoPhase},
+	{"overload", "a coordinator on two cores at 1, 2 and 3 times its traffic, and before slow nodes, with control and without", Overload},
 }
 
 // Report collects what an experiment shows: a table, the figures of its last line, and the aims it missed.
@@ -87,3 +89,6 @@
 	}
 	return nil
 }
+
+// sorted lists a map's keys in order.
+func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
