Overload: able rate kept when less is asked; refused clients queue for their return

After a rush the rate hovered at what was offered, since that was all that got done, and the returning refused were refused again.

--- a/internal/decide/overload/level.go
+++ b/internal/decide/overload/level.go
@@ -15,7 +15,7 @@
 
 func (l Level) String() string { return [...]string{"normal", "trimming", "shedding", "critical"}[l] }
 
-const holdLevel = 500 * time.Millisecond // a level is left downwards only after so long without cause
+const holdLevel = 800 * time.Millisecond // a level is left downwards only after so long without cause
 
 // Level is the present one.
 func (c *Controller) Level() Level { return c.level }
@@ -37,7 +37,7 @@
 	return list
 }
 
-// relevel goes up at once and down one step at a time.
+// relevel goes up at once, and down when there has been no cause for so high a level for long enough.
 func (c *Controller) relevel(s Signals, w window, now time.Duration) bool {
 	want := Normal
 	switch {
@@ -56,7 +56,6 @@
 	if now-c.levelAt < holdLevel {
 		return false
 	}
-	c.level--
-	c.levelAt = now
+	c.level, c.levelAt = want, now
 	return true
 }
--- a/internal/decide/overload/overload.go
+++ b/internal/decide/overload/overload.go
@@ -51,7 +51,7 @@
 	leastRate     = 0.05 // of the most that was ever got done
 	releaseAfter  = 20   // calm windows without a refusal after which nothing is limited any more
 	doneGain      = 0.2  // weight of a window in the rate got done
-	ableKeep      = 0.99 // part of the most that was got done of late that is kept in a window
+	ableKeep      = 0.98 // part of what the loop could do that is kept in a window in which it is behind with less
 	cpuFull       = 0.97 // share of the cores from which the rate does not grow
 	cpuSpare      = 0.8  // and under which it grows quickly
 	costGain      = 0.05 // weight of a window in what a query and a part cost
@@ -60,7 +60,7 @@
 	lowScore      = 0.25 // least score of traffic within it
 	burstSeconds  = 1.0  // a tenant may run ahead of its share by so much
 	burstLeast    = 3.0  // and by so many queries, for a few meet by chance
-	spreadRoom    = 0.25 // of the rate that the refused may take when they come back
+	spreadRoom    = 0.2  // of what the loop can do that the refused may take when they come back
 	leastRetry    = 10.0 // shortest advice, in targets
 	stallFactor   = 3.0  // windows after which a late look says that the process itself stood still
 )
@@ -89,9 +89,11 @@
 	tokens   float64
 	tokensAt time.Duration
 	done     float64 // cost a second that is got done, a moving mean
-	able     float64 // the most of it of late: what the loop can do, also when less is asked of it
+	able     float64 // what the loop can do, also when less is asked of it
 	most     float64 // the most of it ever
 	calmRun  int
+	owed     float64 // cost of those told to come back that have not had the time to
+	owedAt   time.Duration
 
 	window  window
 	level   Level
@@ -202,7 +204,7 @@
 		c.window.refusals++
 		c.window.lowest = max(c.window.lowest, score)
 		c.window.highest = c.window.highest || kept
-		return Decision{RetryIn: c.advice(now)}
+		return Decision{RetryIn: c.advice(cost, now)}
 	}
 	c.window.admitted += cost
 	c.window.queries++
@@ -227,18 +229,22 @@
 	return true
 }
 
-// advice spreads the refused over as long as it takes a share of the rate to serve those refused lately.
-func (c *Controller) advice(now time.Duration) time.Duration {
+// advice tells a refused one when to come back: as in a queue that is served with a share of what the loop can do, so
+// that all who were refused come back as a thin stream, however many they were at once.
+func (c *Controller) advice(cost float64, now time.Duration) time.Duration {
+	room := spreadRoom * max(c.able, c.rate)
+	c.owed = max(0, c.owed-room*(now-c.owedAt).Seconds())
+	c.owedAt = now
 	least := leastRetry * c.cfg.Target.Seconds()
-	spread := least
-	if room := spreadRoom * max(c.rate, c.done); room > 0 {
-		spread = max(least, c.window.denied/room)
+	wait := least * (1 + c.cfg.Rand())
+	if room > 0 {
+		wait += c.owed / room
 	}
-	d := time.Duration((least + spread*c.cfg.Rand()) * float64(time.Second))
-	if c.cfg.MaxRetry > 0 {
-		d = min(d, c.cfg.MaxRetry)
+	c.owed += cost
+	if most := c.cfg.MaxRetry.Seconds(); most > 0 && wait > most { // the last half of it, evenly
+		wait = most * (1 - c.cfg.Rand()/2)
 	}
-	return d
+	return time.Duration(wait * float64(time.Second))
 }
 
 // Done books an admitted query that has had its final answer, with its parts.
@@ -273,7 +279,10 @@
 	stood := span > time.Duration(stallFactor*float64(c.Window()))
 	if !stood { // what is seen after standing still tells of that, not of the load
 		c.done += doneGain * (w.done/span.Seconds() - c.done)
-		c.able = max(c.done, ableKeep*c.able)
+		if s.Wait > c.cfg.Target { // else it did less since less was asked
+			c.able *= ableKeep
+		}
+		c.able = max(c.able, c.done)
 		c.most = max(c.most, c.done)
 		c.cost.learn(s.CPU*span.Seconds(), w.queries, w.parts, w.refusals)
 		c.rank()
