--- a/internal/decide/overload/level.go
+++ b/internal/decide/overload/level.go
@@ -15,7 +15,10 @@
 
 func (l Level) String() string { return [...]string{"normal", "trimming", "shedding", "critical"}[l] }
 
-const manyRefused = 0.1 // share of a window's arrivals under which refusals make no level
+const (
+	refusedGain = 0.3 // weight of a window in the share of arrivals that are refused
+	manyRefused = 0.1 // of that share: fewer refusals make no level, for a few of the returning are always among them
+)
 
 const holdLevel = 800 * time.Millisecond // a level is left downwards only after so long without cause
 
@@ -41,7 +44,10 @@
 
 // relevel goes up at once, and down when there has been no cause for so high a level for long enough.
 func (c *Controller) relevel(s Signals, w window, now time.Duration) bool {
-	want, many := Normal, w.refusals > manyRefused*(w.queries+w.refusals)
+	if tries := w.queries + w.refusals; tries > 0 {
+		c.refusing += refusedGain * (w.refusals/tries - c.refusing)
+	}
+	want, many := Normal, w.refusals > 0 && c.refusing > manyRefused
 	switch {
 	case w.highest || c.memory == EndSome:
 		want = Critical
--- a/internal/decide/overload/overload.go
+++ b/internal/decide/overload/overload.go
@@ -64,7 +64,7 @@
 	lowScore      = 0.25 // least score of traffic within it
 	burstSeconds  = 1.0  // a tenant may run ahead of its share by so much
 	burstLeast    = 3.0  // and by so many queries, for a few meet by chance
-	spreadRoom    = 0.12 // of what the loop can do that the refused may take when they come back
+	spreadRoom    = 0.08 // of what the loop can do that the refused may take when they come back
 	leastRetry    = 10.0 // shortest advice, in targets
 	stallFactor   = 3.0  // windows after which a late look says that the process itself stood still
 )
@@ -100,11 +100,12 @@
 	owed     [2]float64 // cost of those told to come back that have not had the time to, within their shares and beyond
 	owedAt   time.Duration
 
-	window  window
-	level   Level
-	levelAt time.Duration
-	memory  Memory
-	cost    cost
+	window   window
+	level    Level
+	levelAt  time.Duration
+	refusing float64 // share of the arrivals that are refused, a moving mean
+	memory   Memory
+	cost     cost
 }
 
 type class struct {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -38,7 +38,7 @@
 
 // A query is handed from goroutine to goroutine so often at least, from its first byte to its answer's last: each time
 // it waits for a core.
-const handOvers = 8
+const handOvers = 4
 
 const earlyWindows = 1 // waits longer than so many windows are looked at before the next one is over
 
--- a/internal/lab/coordinator.go
+++ b/internal/lab/coordinator.go
@@ -31,6 +31,7 @@
 	Indices  map[string]*opensearch.Index
 	Memory   int // bytes for retained values
 	Nodes    []*Node
+	Gate     core.Gate // nil admits all
 }
 
 // Coordinator is a whole coordinator in this process: the owner, its callers and its front, with sockets in memory
@@ -61,7 +62,7 @@
 	api := &opensearch.Nodes{Config: cfg, ConnectTimeout: connectTime, KeepAlive: keepTime, Dial: net.Dial}
 	owner, err := core.New(core.Config{Seed: 1, Settings: s.Settings, Limits: core.Limits{Shards: s.Sections}, Clock: c.Clock,
 		Callers: map[string]core.Caller{platform.Scheme: frames, opensearch.Scheme: api}, Subscribe: func() {}, Asked: "lab",
-		Planner: c.Planner, Firsts: cfg.Firsts(), Schemes: map[string]bool{opensearch.Scheme: true}})
+		Planner: c.Planner, Firsts: cfg.Firsts(), Schemes: map[string]bool{opensearch.Scheme: true}, Retained: s.Memory, Gate: s.Gate})
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/scale_test.go
@@ -0,0 +1,135 @@
+package harepass
+
+import (
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"testing"
+	"time"
+)
+
+// due is an outcome on its way.
+type due struct {
+	at time.Duration
+	ev AttemptEnded
+}
+
+type dues []due
+
+func (d dues) Len() int           { return len(d) }
+func (d dues) Less(i, j int) bool { return d[i].at < d[j].at }
+func (d dues) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)        { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+// steady keeps about so many queries of six parts open at a root: each part is served after 100 ms, but for some that
+// err or are never answered, and every arrival and outcome is a step of its own, as sockets bring them. digest sums
+// up all actions.
+type steady struct {
+	a       *Aggregator
+	now     time.Duration
+	every   time.Duration
+	out     dues
+	n       int64
+	sent    map[string]int
+	actions int
+	digest  uint64
+}
+
+func newSteady(t testing.TB, open, nodes int, trouble bool) *steady {
+	s := Settings{Roots: 1, Cells: nodes, Reach: 3, CallBatch: 1, Turn: 5 * ms, MaxAttempts: 4, Cancel: true, RetryAdvice: sec,
+		Classes: []Class{{Name: "c", Aim: 1500 * ms, Deadline: 5 * sec, Worth: 1, LateWorth: 0.3, Need: 1, Floor: 0.7},
+			{Name: "once", Aim: 1500 * ms, Deadline: 5 * sec, Worth: 2, LateWorth: 0.1, Need: 1, Floor: 1, Repeat: SingleShot}}}
+	a, err := New(1, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	st := &steady{a: a, now: 100 * sec, every: 100 * ms / time.Duration(open), sent: map[string]int{}}
+	var list []Replica
+	for i := range nodes {
+		list = append(list, Replica{ID: fmt.Sprint("r", i), Cell: i})
+	}
+	st.step(trouble, ListReceived{Scope: ListFull, Replicas: list})
+	return st
+}
+
+func (s *steady) step(trouble bool, events ...Event) {
+	h := fnv.New64a()
+	for _, act := range s.a.Step(s.now, events) {
+		s.actions++
+		fmt.Fprintf(h, "%T%v", act, act)
+		if x, ok := act.(Send); ok {
+			no := s.sent[x.Part]
+			s.sent[x.Part]++
+			o, after := Served, 100*ms
+			if k := len(s.sent) + int(x.Replica[1])*7; trouble && k%11 == 0 {
+				o, after = Errored, 20*ms
+			} else if trouble && k%13 == 0 {
+				o, after = TimedOut, x.Timeout
+			}
+			heap.Push(&s.out, due{s.now + after, AttemptEnded{Part: x.Part, Attempt: no, Replica: x.Replica, Outcome: o, Took: after}})
+		}
+	}
+	s.digest = s.digest*31 + h.Sum64()
+}
+
+// query opens the next query and plays all that is due before it.
+func (s *steady) query(nodes int, trouble bool) {
+	next := s.now + s.every
+	for len(s.out) > 0 && s.out[0].at <= next {
+		d := heap.Pop(&s.out).(due)
+		s.now = max(s.now, d.at)
+		s.step(trouble, d.ev)
+		if len(s.sent) > 1<<16 {
+			clear(s.sent)
+		}
+	}
+	s.now = next
+	s.n++
+	class, parts := "c", 6
+	if s.n%5 == 0 {
+		class, parts = "once", 1
+	}
+	id := fmt.Sprint("q", s.n)
+	evs := []Event{QueryArrived{ID: id, Number: s.n, Class: class, ValidUntil: s.now + 5*sec, Parts: parts}}
+	for i := range parts {
+		evs = append(evs, PartArrived{ID: fmt.Sprint(id, ".", i), Number: s.n, Shard: (int(s.n)*7 + i) % nodes, Weight: 1 / float64(parts)})
+	}
+	s.step(trouble, evs...)
+}
+
+// The actions on recorded events are those of the module before its steps were made cheaper.
+func TestActionsUnchanged(t *testing.T) {
+	for _, tc := range []struct {
+		open, nodes int
+		trouble     bool
+		digest      uint64
+	}{{5, 12, false, 0}, {20, 12, true, 0}, {60, 40, true, 0}} {
+		s := newSteady(t, tc.open, tc.nodes, tc.trouble)
+		for range 1500 {
+			s.query(tc.nodes, tc.trouble)
+		}
+		if s.digest != tc.digest {
+			t.Errorf("%+v: digest %#x of %d actions", tc, s.digest, s.actions)
+		}
+	}
+}
+
+func BenchmarkOpen(b *testing.B) {
+	for _, bc := range []struct{ open, nodes int }{{10, 12}, {100, 12}, {1000, 12}, {100, 1200}} {
+		b.Run(fmt.Sprintf("open=%d/nodes=%d", bc.open, bc.nodes), func(b *testing.B) {
+			s := newSteady(b, bc.open, bc.nodes, false)
+			for range bc.open * 2 {
+				s.query(bc.nodes, false)
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				s.query(bc.nodes, false)
+			}
+		})
+	}
+}
