--- a/aggregator.go
+++ b/aggregator.go
@@ -90,7 +90,7 @@
 
 // Step takes what happened at now and returns what to do, in order. now never goes back.
 func (a *Aggregator) Step(now time.Duration, events []Event) []Action {
-	a.now, a.out = now, nil
+	a.now, a.out, a.still = now, nil, false
 	a.turn++
 	a.heldUp = a.wakeAt > 0 && a.now-a.wakeAt > scale(a.tightest, heldUpFrom) // nobody else was late then
 	for _, e := range events {
@@ -126,6 +126,7 @@
 	if a.dirty || a.now >= a.nextRefill {
 		a.refill()
 	}
+	a.still = true // from here on nothing that ratios go by changes in this step
 	for _, q := range a.open {
 		if !q.admitted {
 			a.admit(q)
@@ -390,8 +391,8 @@
 
 // cost is the latency to expect of a part, at its shard's lower median holder.
 func (a *Aggregator) cost(p *part) float64 {
-	c := p.q.cls
-	if m := usual(a.shardOf(p.Shard).holders); !math.IsInf(m, 1) {
+	c, s := p.q.cls, a.shardOf(p.Shard)
+	if m := a.usualOf(&s.common, s.holders); !math.IsInf(m, 1) {
 		return m * c.base * a.strain
 	}
 	return c.Aim.Seconds() * refuseFrom // nobody is ready: hope, but prefer other parts
@@ -722,10 +723,10 @@
 // hedge sends what an overdue part calls for, within a share of our traffic: a spare part where not all are
 // needed, else a second copy. A query's last parts are free: the rest would be lost with them.
 func (a *Aggregator) hedge(p *part) {
-	if p.outstanding() != 1 || a.now >= p.q.end {
+	at := p.latest() // never late before its class is overdue
+	if at == nil || a.now-at.sent < p.q.cls.overdue || p.outstanding() != 1 || a.now >= p.q.end {
 		return
 	}
-	at := p.attempts[len(p.attempts)-1]
 	// Where copies are barred, a part's only attempt is called off for the next one: a trial, or a lost one.
 	lost := !a.set.SecondCopies && a.set.Cancel && (at.trial || p.q.cls.Repeat == Free && !at.excused &&
 		a.hedges >= 1 && a.now-at.sent >= a.late(at.r, p.q.cls, silentFactor, lostFactor))
@@ -965,7 +966,7 @@
 // late is how long a part may take: past being overdue, and far past what the replica's siblings take now,
 // for what slows all of them is load.
 func (a *Aggregator) late(r *replica, c *class, overdue, times float64) time.Duration {
-	usual := min(times*c.base*usual(r.siblings), c.Deadline.Seconds())
+	usual := min(times*c.base*a.usualOf(&r.common, r.siblings), c.Deadline.Seconds())
 	return max(scale(c.overdue, overdue/a.ramp(r)), time.Duration(usual*float64(time.Second)))
 }
 
--- a/state.go
+++ b/state.go
@@ -32,6 +32,7 @@
 	lastOK     time.Duration // when anything was served last
 	scoutUntil time.Duration // until then queries send one part first
 	heldUp     bool          // this step came late: the root itself stood still
+	still      bool          // no replica's standing or ratio changes any more in this step
 	idleLimit  time.Duration // connections unused for so long were lost
 	partial    bool          // some class may be answered in part
 	dirty      bool          // the list or a replica's health changed since the last refill
@@ -67,9 +68,16 @@
 	until     time.Duration // until then the next ones are refused
 }
 
+// memo keeps a figure for the rest of a step.
+type memo struct {
+	turn  int
+	value float64
+}
+
 type replica struct {
 	Replica
 	ratio    float64 // its latency in those usual for each class
+	common   memo    // what is usual of its siblings
 	siblings []*replica
 	out      []*attempt
 	calls    int
@@ -110,6 +118,7 @@
 type shard struct {
 	no      int
 	holders []*replica
+	common  memo        // what is usual of them
 	counts  []float64   // parts by class since the last refill
 	rates   []float64   // parts a refill by class, decayed
 	shares  [][]float64 // by class, then holder
@@ -137,6 +146,7 @@
 	PartArrived
 	q         *query
 	attempts  []*attempt
+	out       int // attempts that have not ended
 	wanted    bool
 	left      bool // not asked for: its shard is crowded, and an answer in part will do
 	served    bool
@@ -162,17 +172,29 @@
 
 type call struct{ turn, parts, size int }
 
+// usualOf is the usual ratio of some replicas, computed once a step where it cannot change any more.
+func (a *Aggregator) usualOf(m *memo, some []*replica) float64 {
+	if !a.still {
+		return usual(some)
+	}
+	if m.turn != a.turn {
+		m.turn, m.value = a.turn, usual(some)
+	}
+	return m.value
+}
+
 func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
 
 func mod(x, n int) int { return ((x % n) + n) % n }
 
-func (p *part) outstanding() (n int) {
-	for _, at := range p.attempts {
-		if !at.ended {
-			n++
-		}
+func (p *part) outstanding() int { return p.out }
+
+// latest is the part's last attempt, nil if there was none.
+func (p *part) latest() *attempt {
+	if n := len(p.attempts); n > 0 {
+		return p.attempts[n-1]
 	}
-	return n
+	return nil
 }
 
 // mean is the expected latency of a class at this shard under its shares.
@@ -220,12 +242,14 @@
 		p.mayRun, p.firstRun = true, at.sent
 	}
 	p.attempts = append(p.attempts, at)
+	p.out++
 }
 
 // detach books the end of an attempt; never tells that it is proven not to have run.
 func (at *attempt) detach(never bool) {
 	at.ended, at.never = true, never
 	r, p := at.r, at.part
+	p.out--
 	r.out = slices.DeleteFunc(r.out, func(o *attempt) bool { return o == at })
 	if at.call.parts--; at.call.parts == 0 {
 		r.calls--
