--- a/internal/decide/overload/level.go
+++ b/internal/decide/overload/level.go
@@ -20,7 +20,7 @@
 	manyRefused = 0.1 // of that share: fewer refusals make no level, for a few of the returning are always among them
 )
 
-const holdLevel = 800 * time.Millisecond // a level is left downwards only after so long without cause
+const holdLevel = 650 * time.Millisecond // a level is left downwards only after so long without cause
 
 // Level is the present one.
 func (c *Controller) Level() Level { return c.level }
--- a/internal/decide/overload/overload.go
+++ b/internal/decide/overload/overload.go
@@ -57,7 +57,7 @@
 	ableKeep      = 0.98 // part of what the loop could do that is kept in a window in which it is behind with less
 	cpuFull       = 0.97 // share of the cores from which the rate does not grow
 	cpuSpare      = 0.8  // and under which it grows quickly
-	costGain      = 0.05 // weight of a window in what a query and a part cost
+	partsGain     = 0.05 // weight of an arrival in its class's usual number of parts
 	retryLoss     = 0.02 // of its score: a retry has less time left
 	overScore     = 0.15 // most that traffic beyond its tenant's share scores
 	keptScore     = 0.2  // of what is kept, beyond its tenant's share
@@ -203,7 +203,7 @@
 	parts := k.parts
 	if a.Parts > 0 {
 		parts = float64(a.Parts)
-		k.parts += costGain * (parts - k.parts)
+		k.parts += partsGain * (parts - k.parts)
 	}
 	in := c.within(a.Tenant, k.Kept, a.Retry, now)
 	cost, score := c.cost.of(parts), c.score(k, in, a.Retry)
@@ -297,7 +297,7 @@
 		return false
 	}
 	stood := span > time.Duration(stallFactor*float64(c.Window()))
-	if !stood { // what is seen after standing still tells of that, not of the load
+	if !stood { // what was got done while standing still tells of that, not of what could be
 		c.done += doneGain * (w.done/span.Seconds() - c.done)
 		if s.Wait > c.cfg.Target { // else it did less since less was asked
 			c.able *= ableKeep
@@ -306,8 +306,8 @@
 		c.most = max(c.most, c.done)
 		c.cost.learn(s.CPU*span.Seconds(), w.queries, w.parts, w.refusals)
 		c.rank()
-		c.move(s, w, now)
 	}
+	c.move(s, w, now)
 	c.memory = c.memory.next(s, c.cfg.Memory)
 	return c.relevel(s, w, now)
 }
