--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,11 +25,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		var log bytes.Buffer
 		var squeezed []overload.Memory
-		live, turning := int64(0), time.Duration(0)
+		var live, turning atomic.Int64
 		g := New(config(), core.SystemClock())
 		g.Log = slog.New(slog.NewTextHandler(&log, nil))
-		g.Probe = func() Usage { return Usage{Live: live} }
-		g.Turning = func() time.Duration { return turning }
+		g.Probe = func() Usage { return Usage{Live: live.Load()} }
+		g.Turning = func() time.Duration { return time.Duration(turning.Load()) }
 		g.Squeeze = func(m overload.Memory, _ int64) { squeezed = append(squeezed, m) }
 		ctx, cancel := context.WithCancel(t.Context())
 		go g.Run(ctx)
@@ -45,24 +46,24 @@
 		if n := second(); n != 0 || log.Len() != 0 {
 			t.Errorf("%d refused with nothing wrong: %s", n, log.String())
 		}
-		turning = time.Second // no turn ends, so none is told
+		turning.Store(int64(time.Second)) // no turn ends, so none is told
 		if n := second(); n == 0 || g.Level() == overload.Normal {
 			t.Errorf("%d refused while the owner is stuck, level %v", n, g.Level())
 		}
-		turning = 0
+		turning.Store(0)
 		time.Sleep(3 * time.Second)
 		if second(); g.Level() != overload.Normal {
 			t.Errorf("level %v after all is well", g.Level())
 		}
-		live = 900 << 20
+		live.Store(900 << 20)
 		second()
-		live = 0
+		live.Store(0)
 		second()
+		cancel()
+		synctest.Wait()
 		if len(squeezed) < 2 || squeezed[0] != overload.EndSome || squeezed[len(squeezed)-1] != overload.Fine {
 			t.Errorf("squeezed %v", squeezed)
 		}
-		cancel()
-		synctest.Wait()
 		lines := strings.Split(strings.TrimSpace(log.String()), "\n")
 		if len(lines) < 4 || len(lines) > 12 {
 			t.Errorf("%d lines for the changes of level:\n%s", len(lines), log.String())
