--- a/cmd/harepass/overload.go
+++ b/cmd/harepass/overload.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"os"
 	"strings"
 	"time"
@@ -14,6 +13,7 @@
 
 	"harepass"
 	"harepass/internal/decide/overload"
+	"harepass/internal/guard"
 )
 
 // defaultOverload is the file of overload control; that is off where it is missing.
@@ -61,15 +61,10 @@
 
 // control is the controller's configuration. A platform bounds what the refused may be told.
 func (f *overloadFile) control(s harepass.Settings, l limits, platform bool) overload.Config {
-	c := overload.Config{Target: f.LoopDelay, Cores: l.Cores, Memory: int64(f.MemoryMB) << 20, MaxRetry: f.MaxRetryAfter, Rand: rand.Float64}
+	c := guard.Config(s)
+	c.Target, c.Cores, c.Memory, c.MaxRetry = f.LoopDelay, l.Cores, int64(f.MemoryMB)<<20, f.MaxRetryAfter
 	if platform {
 		c.MaxRetry = min(c.MaxRetry, s.RetryAdvice)
 	}
-	for _, k := range s.Classes {
-		c.Classes = append(c.Classes, overload.Class{Name: k.Name, Worth: k.Worth, Kept: k.Repeat != harepass.Free, Parts: 4})
-	}
-	for _, t := range s.Tenants {
-		c.Tenants = append(c.Tenants, overload.Tenant{Name: t.Name, Share: t.Quota / float64(max(1, s.Roots))})
-	}
 	return c
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
 
+	"harepass"
 	"harepass/internal/core"
 	"harepass/internal/decide/overload"
 )
@@ -31,6 +33,21 @@
 	memory  overload.Memory
 }
 
+const usualParts = 4 // of a query, until some have told how many they have
+
+// Config is a controller's configuration as far as the settings tell it: classes, and tenants with this root's part of
+// their shares. Target, cores, memory and the longest advice are the installation's to say.
+func Config(s harepass.Settings) overload.Config {
+	c := overload.Config{Rand: rand.Float64}
+	for _, k := range s.Classes {
+		c.Classes = append(c.Classes, overload.Class{Name: k.Name, Worth: k.Worth, Kept: k.Repeat != harepass.Free, Parts: usualParts})
+	}
+	for _, t := range s.Tenants {
+		c.Tenants = append(c.Tenants, overload.Tenant{Name: t.Name, Share: t.Quota / float64(max(1, s.Roots))})
+	}
+	return c
+}
+
 // New returns a Guard for a controller's configuration.
 func New(cfg overload.Config, clock core.Clock) *Guard {
 	return &Guard{Clock: clock, Probe: Self, Log: slog.Default(), control: overload.New(cfg), early: make(chan struct{}, 1)}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -157,13 +156,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if p.Target > 0 {
-		c := overload.Config{Target: p.Target, Cores: float64(p.Cores), Memory: limit, MaxRetry: 30 * time.Second, Rand: rand.Float64}
-		for _, k := range p.Settings.Classes {
-			c.Classes = append(c.Classes, overload.Class{Name: k.Name, Worth: k.Worth, Kept: k.Repeat != harepass.Free, Parts: 4})
-		}
-		for _, t := range p.Settings.Tenants {
-			c.Tenants = append(c.Tenants, overload.Tenant{Name: t.Name, Share: t.Quota})
-		}
+		c := guard.Config(p.Settings)
+		c.Target, c.Cores, c.Memory, c.MaxRetry = p.Target, float64(p.Cores), limit, 30*time.Second
 		m.Guard = guard.New(c, clock)
 		m.Guard.Log = slog.New(levels{m})
 	}
--- a/internal/lab/twophase.go
+++ b/internal/lab/twophase.go
@@ -137,7 +137,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			t.add(i, warm, status, body, to.Sub(from), faults)
-			if status == 200 && len(truth.values(query, 0, from, to)) == 1 && still(truth, query, all, from, to) {
+			if status == 200 && still(truth, query, all, from, to) {
 				t.fresh[i] = hitsOf(body)
 			}
 		})
