Discovery: a move without a subscription asks for the whole list again

Found in the last reading: a move that came while no subscription stood took over the address but kept the version of the service that was left, so the new service was watched from an index that is not its own. Run forgets the version there too. TestWatchFromKnown now ends with that and fails without the change (tried).

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -113,7 +113,7 @@
 		select {
 		case <-d.asked:
 		case d.address = <-d.moved:
-			moved = true
+			moved, d.index = true, noIndex
 		case <-ctx.Done():
 			return
 		}
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -226,6 +226,19 @@
 				t.Errorf("after %s: told %v, next call %s", c.answer, told, calls[len(calls)-1])
 			}
 		}
+		answers <- `{"index":5,"snapshot":true,` + one
+		synctest.Wait()
+		served.Close() // the subscription ends, with a version known: that of a service that is left
+		synctest.Wait()
+		calls = nil
+		again := &http.Server{Handler: served.Handler}
+		go again.Serve(memory.Listen("elsewhere"))
+		defer again.Close()
+		d.Move("elsewhere")
+		synctest.Wait()
+		if fmt.Sprint(calls) != "[/registry/instances]" {
+			t.Errorf("moved without a subscription: calls %v", calls)
+		}
 		cancel()
 		<-done
 	})
