Trace of queries, attempts, connections and list calls; a bounded line for each bad end

A query that fails or ends past its aim is one line (id, class, end, time left, parts in, attempts), five at once and one in 2 s after, with the number left out.

--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -39,13 +39,19 @@
 )
 
 // files are those of the operators that serve and check read.
-type files struct{ search, overload string }
+type files struct {
+	search, overload string
+	trace            bool
+}
 
 // flags are those of serve and check.
 func flags(name string, args []string, out io.Writer) (f files, err error) {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	fs.StringVar(&f.search, "opensearch", defaultSearch, "the OpenSearch front's file; the front is off where the default is missing")
 	fs.StringVar(&f.overload, "overload", defaultOverload, "the file of overload control, which is off where the default is missing")
+	if name == "serve" {
+		fs.BoolVar(&f.trace, "trace", false, "write each query, attempt, connection and list call to the log; for a look, not for service")
+	}
 	return f, parse(fs, args, out)
 }
 
@@ -98,6 +104,9 @@
 	if err != nil {
 		return err
 	}
+	if paths.trace {
+		slog.SetLogLoggerLevel(slog.LevelDebug)
+	}
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	clock := core.SystemClock()
@@ -108,6 +117,7 @@
 	debug.SetMemoryLimit(int64(float64(s.limits.MemoryMB) * memoryShare * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(s.limits.Cores)))
 	p := &program{setup: s, clock: clock}
+	slog.Debug("settings", "limits", s.limits, "caps", s.caps, "settings", s.settings)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if err := p.start(ctx); err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,8 +4,10 @@
 package core
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"math"
 	"slices"
@@ -140,8 +142,9 @@
 	Firsts  []string        // classes whose queries may have a first phase
 	Schemes map[string]bool // whose callers know of it
 
-	Gate     Gate // nil admits all
-	Retained int  // bytes that the Planner may retain while memory does not run short
+	Log      *slog.Logger // of queries, see trace.go; nil for the default
+	Gate     Gate         // nil admits all
+	Retained int          // bytes that the Planner may retain while memory does not run short
 }
 
 const (
@@ -187,6 +190,7 @@
 	drainEnd  time.Duration // once it drains: by then all has to be answered
 	list      bool          // discovery has answered, be it with a refusal, or the remembered list has to do
 	ending    bool          // to stop when nothing is open
+	words     words
 }
 
 type listedNode struct {
@@ -198,6 +202,7 @@
 	*Query
 	id     string
 	number int64
+	taken  time.Duration
 	bytes  int64
 	parts  []*part
 	due    *deadline
@@ -230,6 +235,7 @@
 			return nil, fmt.Errorf("%w: %s", ErrSecondStep, c.Name)
 		}
 	}
+	cfg.Log = cmp.Or(cfg.Log, slog.Default())
 	return &Owner{cfg: cfg, agg: agg, queue: make(chan posted, queueSize), done: make(chan struct{}),
 		ready: make(chan struct{}), queries: map[string]*query{}, byQuery: map[*Query]*query{},
 		ids: map[string]struct{}{}, parts: map[string]*part{}, firsts: map[string]*first{}, ables: map[int]bool{}, nodes: map[string]listedNode{}, deadlines: newDeadlines()}, nil
@@ -360,7 +366,7 @@
 	}
 	o.held += size
 	o.next++
-	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10), number: o.next}
+	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10), number: o.next, taken: o.now}
 	o.queries[q.id], o.byQuery[m.q] = q, q
 	o.hold(q, int64(queryBytes+len(q.Text)+partBytes*len(q.Parts)))
 	q.due = o.deadlines.add(q.Until+overdue, func() { o.overdue(q) })
@@ -439,6 +445,7 @@
 
 // finish gives a query its one final answer.
 func (o *Owner) finish(q *query, a Answer) {
+	o.traceAnswer(q, a)
 	o.close(q)
 	q.Done(a)
 }
@@ -489,6 +496,7 @@
 		}
 	}
 	took := max(0, when-at.sent)
+	o.traceEnd(at, outcome, took)
 	o.events = append(o.events, harepass.AttemptEnded{Part: at.part.id, Attempt: at.no, Replica: at.Node,
 		Outcome: outcome, Took: took})
 	o.learn(at, outcome == harepass.Served, value, took)
--- /dev/null
+++ b/internal/core/trace.go
@@ -0,0 +1,86 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"harepass"
+)
+
+// This file is what the owner writes of single queries, so that one which ended wrongly can be followed by its id.
+
+// Queries that fail, or whose clients wait past their aim, are told at most so often: a bad minute is not to make
+// logging a load of its own.
+const (
+	wordsBurst = 5
+	wordsEvery = 2 * time.Second
+)
+
+var outcomeNames = [...]string{"served", "error", "full", "timeout", "noconn", "reset", "cancelled", "moot"}
+
+var verdictNames = [...]string{"served", "refused", "failed", "invalid"}
+
+// words are the lines that may still be written about queries that ended badly.
+type words struct {
+	left    float64
+	at      time.Duration
+	dropped int
+}
+
+// take tells whether a line may be written now, and how many were not since the last one that was.
+func (w *words) take(now time.Duration) (dropped int, ok bool) {
+	if w.at == 0 {
+		w.left = wordsBurst
+	}
+	w.left = min(wordsBurst, w.left+float64(now-w.at)/float64(wordsEvery))
+	if w.at = now; w.left < 1 {
+		w.dropped++
+		return 0, false
+	}
+	dropped, w.dropped = w.dropped, 0
+	w.left--
+	return dropped, true
+}
+
+// tracing tells whether each step of each query is to be written.
+func (o *Owner) tracing() bool { return o.cfg.Log.Enabled(context.Background(), slog.LevelDebug) }
+
+// traceEnd writes an attempt's end.
+func (o *Owner) traceEnd(at *Attempt, outcome harepass.Outcome, took time.Duration) {
+	if o.tracing() {
+		o.cfg.Log.Debug("attempt", "id", at.Query, "shard", at.Shard, "no", at.no, "node", at.Node, "outcome", outcomeNames[outcome], "took", took)
+	}
+}
+
+// traceAnswer writes a query's end: at debug level each, else those that failed or came late.
+func (o *Owner) traceAnswer(q *query, a Answer) {
+	took := o.now - q.taken
+	bad := a.Verdict == Failed
+	for _, c := range o.cfg.Settings.Classes {
+		bad = bad || c.Name == q.Class && took > c.Aim
+	}
+	level := slog.LevelDebug
+	if bad {
+		level = slog.LevelInfo
+	}
+	if !o.cfg.Log.Enabled(context.Background(), level) {
+		return
+	}
+	dropped := 0
+	if level == slog.LevelInfo && !o.tracing() {
+		var ok bool
+		if dropped, ok = o.words.take(o.now); !ok {
+			return
+		}
+	}
+	attempts, in := 0, 0
+	for _, p := range q.parts {
+		attempts += len(p.attempts)
+		if p.value != nil {
+			in++
+		}
+	}
+	o.cfg.Log.Log(context.Background(), level, "query", "id", q.ID, "class", q.Class, "tenant", q.Tenant, "end", verdictNames[a.Verdict], "whole", a.Whole,
+		"took", took, "left", q.Until-o.now, "parts", len(q.parts), "in", in, "attempts", attempts, "unsaid", dropped)
+}
--- /dev/null
+++ b/internal/core/trace_test.go
@@ -0,0 +1,81 @@
+package core
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"harepass"
+)
+
+func logged(t *testing.T, level slog.Level) (*rig, *bytes.Buffer) {
+	var out bytes.Buffer
+	return newRig(t, func(c *Config) {
+		c.Log = slog.New(slog.NewTextHandler(&out, &slog.HandlerOptions{Level: level}))
+	}), &out
+}
+
+// A query that fails is one line with its id, class, time left and attempts; one that is served in time is none.
+func TestBadEndIsOneLine(t *testing.T) {
+	r, out := logged(t, slog.LevelInfo)
+	r.Submit(r.query("free", 0))
+	r.pass(0)
+	r.Ended(r.hand.last(), harepass.Served, []byte("v"))
+	r.pass(ms)
+	if out.Len() > 0 {
+		t.Errorf("a good query is told: %s", out)
+	}
+	r.Submit(r.query("once", 0))
+	r.pass(100 * ms)
+	r.Ended(r.hand.last(), harepass.Reset, nil)
+	r.pass(ms)
+	for _, want := range []string{"id=q2", "class=once", "end=failed", "left=2.9s", "attempts=1"} {
+		if strings.Count(out.String(), want) != 1 {
+			t.Errorf("%q is not there once: %s", want, out)
+		}
+	}
+	if strings.Contains(out.String(), "msg=attempt") {
+		t.Errorf("attempts are told without a trace: %s", out)
+	}
+}
+
+// Many bad ends are few lines, and the next line says how many there were.
+func TestBadEndsAreBounded(t *testing.T) {
+	var w words
+	said := 0
+	for i := range 20 {
+		if _, ok := w.take(time.Hour + time.Duration(i)*10*ms); ok {
+			said++
+		}
+	}
+	if said != wordsBurst {
+		t.Errorf("%d lines at once, want %d", said, wordsBurst)
+	}
+	if dropped, ok := w.take(time.Hour + 200*ms + wordsEvery); !ok || dropped != 20-wordsBurst {
+		t.Errorf("after a while: %d left out, %t", dropped, ok)
+	}
+	if dropped, ok := w.take(2 * time.Hour); !ok || dropped != 0 {
+		t.Errorf("an hour later: %d left out, %t", dropped, ok)
+	}
+}
+
+// A trace tells every attempt and every query, those that go well too.
+func TestTrace(t *testing.T) {
+	r, out := logged(t, slog.LevelDebug)
+	r.Submit(r.query("free", 0, 1))
+	r.pass(0)
+	for _, call := range r.hand.calls {
+		for _, at := range call {
+			r.Ended(at, harepass.Served, []byte("v"))
+		}
+	}
+	r.pass(time.Second)
+	if n := strings.Count(out.String(), "msg=attempt id=q1"); n != 2 {
+		t.Errorf("%d attempts told, want 2: %s", n, out)
+	}
+	if !strings.Contains(out.String(), "end=served whole=true") {
+		t.Errorf("the answer is not told: %s", out)
+	}
+}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -216,8 +216,10 @@
 func call(ctx context.Context, c *http1.Client, target string, limit time.Duration) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	began := time.Now()
 	m, _, err := c.Do(ctx, &http1.Message{Method: "GET", Target: target,
 		Header: textproto.MIMEHeader{"Host": {c.Address}}})
+	slog.Debug("list call", "target", target, "took", time.Since(began), "err", err)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -301,6 +301,7 @@
 	c.c = conn
 	closed := c.closed
 	c.nodes.mu.Unlock()
+	slog.Debug("connection", "node", c.node)
 	if closed {
 		return
 	}
