Pace: the first list call comes within half the time after which one counts as told

The first of the lost nodes was listed as gone at 8.59 s; 8.59 + ask_every_us (10 s) + 1 s is 19.59 s.

At fault: pace.go drew the first call from fleet x 0.1 s, 27 s at 273 coordinators, whatever the settings say of what counts as told.

Change: the span of a first call is at most half of ask_every_us, that of one after a failure at most all of it. Fleets of up to five wait for nothing, as before. The test fails with the old span.

--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -158,7 +158,7 @@
 	}
 	if p.config != nil {
 		p.disc = platform.NewDiscovery(p.config.Discovery, p.config.Known)
-		p.disc.Pace = &pace.Pace{Fleet: p.settings.Roots, Rand: rand.New(rand.NewPCG(p.seed, 0x70616365))}
+		p.disc.Pace = &pace.Pace{Fleet: p.settings.Roots, Told: p.settings.ListMaxAge, Rand: rand.New(rand.NewPCG(p.seed, 0x70616365))}
 		cfg.Subscribe, cfg.Asked = p.disc.Subscribe, platform.Source
 	}
 	owner, err := core.New(cfg)
--- a/internal/decide/pace/pace.go
+++ b/internal/decide/pace/pace.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// turn is the time that a call is taken to cost the service. It is told nowhere; on the operators' large days one
-	// took 0.07 s, and a call for the whole list of 60 nodes 0.19 s.
+	// turn is the time that a call is taken to cost the service. It is told nowhere; on the operators' days with 80
+	// coordinators one took 0.07 s, and a call for the whole list of 60 nodes 0.19 s.
 	turn = 100 * time.Millisecond
 	// queue is how much of such time may be asked for at once: the service fails what has waited for 2 s.
 	queue = 1500 * time.Millisecond
@@ -24,18 +24,23 @@
 	// that failed has to be worked off as well.
 	widen  = 2
 	widest = 8
+	// What a process that has asked for nothing is taken to know counts from its start, so its first call, with the
+	// time that it may take and a second to act on it, has to lie well within Told. After a failed call four times
+	// as long is allowed.
+	firstShare = 0.5
 )
 
 // Pace is for one coordinator of Fleet.
 type Pace struct {
 	Fleet int
+	Told  time.Duration // one that has not asked for so long is taken to know the list all the same; 0 where that is not so
 	Rand  *rand.Rand
 
 	wide int // the span after failures, in turns of the whole fleet
 }
 
 // First is how long to wait before the first call of a process that has something to go on with.
-func (p *Pace) First() time.Duration { return p.draw(1) }
+func (p *Pace) First() time.Duration { return p.draw(1, firstShare) }
 
 // Failed notes that a call has failed after so long, or that what it began has ended, and returns how long to wait
 // before the next.
@@ -44,14 +49,18 @@
 	if took >= overbooked {
 		p.wide = min(widen*p.wide, widest)
 	}
-	return p.draw(p.wide)
+	return p.draw(p.wide, 1)
 }
 
 // Served notes that a call was answered.
 func (p *Pace) Served() { p.wide = 0 }
 
-// draw is a moment in so many turns of the whole fleet, less what the service can have waiting at once.
-func (p *Pace) draw(wide int) time.Duration {
-	span := time.Duration(wide*p.Fleet) * turn
-	return max(0, time.Duration(p.Rand.Float64()*float64(span))-queue)
+// draw is a moment in so many turns of the whole fleet, less what the service can have waiting at once; the rule on what
+// is taken to be known goes before what the service can take.
+func (p *Pace) draw(wide int, share float64) time.Duration {
+	span := time.Duration(wide*p.Fleet)*turn - queue
+	if p.Told > 0 {
+		span = min(span, time.Duration(share*float64(p.Told)))
+	}
+	return time.Duration(p.Rand.Float64() * float64(max(0, span)))
 }
--- a/internal/decide/pace/pace_test.go
+++ b/internal/decide/pace/pace_test.go
@@ -92,3 +92,36 @@
 		}
 	}
 }
+
+// A process that has not asked is taken to know the list of some time ago, and has to have asked before: whatever the
+// size of the fleet, its first call comes by half of that time, and none later than all of it after a failure. Nor may
+// all of them come together for that.
+func TestAsksBeforeItCountsAsTold(t *testing.T) {
+	const told = 10 * time.Second
+	for _, fleet := range []int{80, 300, 2000} {
+		firsts := [10]int{}
+		for i := range fleet {
+			p := &Pace{Fleet: fleet, Told: told, Rand: rand.New(rand.NewPCG(uint64(i), 2))}
+			first := p.First()
+			if first >= told/2 {
+				t.Fatalf("one of %d calls first after %v", fleet, first)
+			}
+			firsts[first*20/told]++
+			for range 8 {
+				if d := p.Failed(2 * time.Second); d >= told {
+					t.Fatalf("one of %d calls again after %v", fleet, d)
+				}
+			}
+		}
+		for i, n := range firsts {
+			if n > fleet/5 {
+				t.Errorf("%d of %d call first in tenth %d of the time: %v", n, fleet, i, firsts)
+			}
+		}
+	}
+	made, had, last := play(300, 10*time.Millisecond, 0, func(p *Pace) time.Duration { p.Told = told; return p.First() },
+		func(p *Pace, took time.Duration) time.Duration { return p.Failed(took) })
+	if had != 300 || made > 310 || last > told/2+2*time.Second {
+		t.Errorf("300: %d calls, %d had it, the last after %v", made, had, last)
+	}
+}
