Cold nodes: each query draws whether it may use one; roots no longer save whole parts

Ruled out: latency of cold nodes (medians under 0.06 s, no "full"); discovery (changes known within 2 s, no failed call); shares (a cold holder's share goes by its ramp and was not reached).

At fault: coldRoom. With 285 roots a node's budget is 0.02 to 0.06 parts a second for each; a token waits on average 27 s for a query that wants this node, a query that does wants two to six parts there at once, and a root that has just started counted as having served nothing (warmRate grew by a fifth a second).

Change: where the budget of a window is less than one part, a query draws once for each cold node whether it may use it, with the chance budget / demand; demand is what admitted queries ask of a ready node, times the crowding by siblings that are away or cold themselves. A part that failed elsewhere counts as if all siblings had failed. A root younger than the window keeps to its tokens. Both rates count a young root's seconds in full.

--- a/aggregator.go
+++ b/aggregator.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -71,7 +70,7 @@
 	a := &Aggregator{set: s, rng: rand.New(rand.NewPCG(seed, 0x756d62)), byClass: map[string]*class{},
 		tenants: map[string]*tenant{}, byID: map[string]*replica{}, shards: map[int]*shard{},
 		queries: map[string]*query{}, byNumber: map[int64]*query{}, parts: map[string]*part{},
-		kinds: map[string]kind{}, strain: 1, hedges: hedgeBurst, idleLimit: never, dirty: true}
+		strain: 1, hedges: hedgeBurst, idleLimit: never, dirty: true}
 	for i, c := range s.Classes {
 		k := &class{Class: c, idx: i, overdue: scale(c.Aim, hedgeLast), work: startMean * c.Aim.Seconds(),
 			base: startMean * c.Aim.Seconds()}
@@ -113,11 +112,6 @@
 			if q := a.queries[ev.ID]; q != nil {
 				q.end = a.now
 			}
-		case Told: // a peer's word counts as a part at the limit and as one fault: alone it makes no suspect
-			if r := a.byID[ev.Replica]; r != nil && len(ratios(r.siblings)) > 0 {
-				r.ratio += ratioGain * max(0, slowFactor*usual(r.siblings)-r.ratio)
-				r.errors = max(r.errors, 1)
-			}
 		case Woken:
 			a.wakeAt = 0
 		}
@@ -188,7 +182,11 @@
 		}
 		a.idleLimit = min(scale(a.idleLimit, idleGrow), never)
 		warm := count(a.replicas, func(r *replica) bool { return r.ready() && a.ramp(r) == 1 })
-		a.warmRate, a.served = rateKeep*a.warmRate+(1-rateKeep)*a.served/max(1, warm), 0
+		a.refills++
+		gain := max(1-rateKeep, 1/a.refills) // what a young root has seen counts in full
+		a.warmRate += gain * (a.served/max(1, warm) - a.warmRate)
+		a.askedRate += gain * (a.asked - a.askedRate)
+		a.served, a.asked = 0, 0
 		a.withinBudget() // forgets what is past its window
 		a.forget()
 		for _, c := range a.classes {
@@ -298,7 +296,7 @@
 // Queries.
 
 func (a *Aggregator) onQuery(ev QueryArrived) {
-	q := &query{QueryArrived: ev, cls: a.byClass[ev.Class], arrived: a.now, race: map[*replica]float64{}}
+	q := &query{QueryArrived: ev, cls: a.byClass[ev.Class], race: lots{}, luck: lots{}}
 	a.taken = append(a.taken, a.now)
 	if q.cls == nil {
 		a.do(Refuse{Query: ev.ID})
@@ -356,13 +354,14 @@
 		}
 	}
 	p := (pressure - refuseFrom) / (refuseAll - refuseFrom)
-	if refuse || a.now < a.kinds[q.Key].until || p > 0 && a.rng.Float64() < min(p, refuseMost) {
+	if refuse || p > 0 && a.rng.Float64() < min(p, refuseMost) {
 		// What is refused renews no base: it counts as one sample at the start.
 		a.strain -= baseGain * max(0, a.strain-1)
 		q.cls.base += baseGain * (min(q.cls.base, startMean*q.cls.Aim.Seconds()) - q.cls.base)
 		a.giveUp(q)
 		return
 	}
+	a.asked += float64(len(q.parts)) / max(1, count(a.replicas, (*replica).ready))
 	// An answer in part does without crowded shards and, as load rises, light parts, half way to the floor.
 	light := slices.Clone(q.parts)
 	slices.SortStableFunc(light, func(x, y *part) int { return cmp.Compare(x.Weight, y.Weight) })
@@ -445,17 +444,14 @@
 		return
 	}
 	// Some queries bring down whatever begins a part of them. One that lost a replica sends one part at a time
-	// until one is served; with the second death, or the first after its kin's, it is the cause.
-	own := !q.cleared && len(q.died) > 0
-	if own && (len(q.died) >= fatalDeaths || a.kinds[q.Key].convicted > 0) {
-		a.convict(q)
+	// until one is served; with the second death it is the cause.
+	scout := !q.cleared && len(q.died) > 0
+	if scout && len(q.died) >= fatalDeaths {
+		a.giveUp(q)
 		return
 	}
 	a.choose(q, need)
-	scout := own || !q.cleared && a.now < a.scoutUntil
-	held := scout && slices.ContainsFunc(q.parts, func(p *part) bool {
-		return p.outstanding() > 0 && (own || (a.now-p.attempts[0].sent).Seconds() < hedgeFactor*q.cls.base)
-	})
+	held := scout && slices.ContainsFunc(q.parts, func(p *part) bool { return p.outstanding() > 0 })
 	reach := q.weight // what could still come in
 	for _, p := range q.parts {
 		if !p.served && !p.left && a.live(p) {
@@ -485,7 +481,7 @@
 		return
 	}
 	for _, p := range q.parts {
-		if p.wanted && !p.served && !own {
+		if p.wanted && !p.served && !scout {
 			a.hedge(p)
 		}
 	}
@@ -501,16 +497,6 @@
 	return by
 }
 
-// convict gives up a query that brings down whatever begins a part of it, and remembers its key.
-func (a *Aggregator) convict(q *query) {
-	if k := a.kinds[q.Key]; q.Key != "" { // only a key or a tenant makes queries kin
-		k.convicted++
-		k.until = a.now + time.Duration(k.convicted)*q.cls.Deadline
-		a.kinds[q.Key] = k
-	}
-	a.giveUp(q)
-}
-
 // answer answers a query. A class with a second step stays open for its new parts.
 func (a *Aggregator) answer(q *query, whole bool) {
 	a.do(Answer{Query: q.ID, Whole: whole})
@@ -589,7 +575,7 @@
 		return nil
 	}
 	for _, r := range holders {
-		if r.suspect && a.now >= r.trialAt && len(r.out) == 0 && a.coldRoom(r) {
+		if r.suspect && a.now >= r.trialAt && len(r.out) == 0 && a.coldRoom(p, r) {
 			return r
 		}
 	}
@@ -641,7 +627,7 @@
 	least := math.MaxInt
 	var pool []int
 	for i, r := range s.holders {
-		if ok(r) && a.now >= r.fullUntil && a.coldRoom(r) {
+		if ok(r) && a.now >= r.fullUntil && a.coldRoom(p, r) {
 			pool = append(pool, i)
 			least = min(least, a.busy(r))
 		}
@@ -653,12 +639,8 @@
 		if a.busy(r) > least {
 			continue
 		}
-		v, drawn := p.q.race[r]
-		if !drawn {
-			v = a.rng.ExpFloat64()
-			p.q.race[r] = v
-		}
-		if v /= max(s.shares[p.q.cls.idx][i], weightSlack); v < low {
+		v := p.q.race.draw(r, a.rng.ExpFloat64) / max(s.shares[p.q.cls.idx][i], weightSlack)
+		if v < low {
 			low, best = v, r
 		}
 	}
@@ -673,10 +655,10 @@
 	return r.calls
 }
 
-// coldRoom tells whether a replica can be sent one more part: a cold one has a budget that follows its
-// guaranteed ramp, this root's part of what the fall rule allows, never in a burst. What warm ones do, it
-// can do warm: far more than latencies tell, which are of one core and of queues where all are loaded.
-func (a *Aggregator) coldRoom(r *replica) bool {
+// coldRoom tells whether a replica can be sent a part: a cold one has a budget that follows its guaranteed
+// ramp, this root's part of what the fall rule allows, never in a burst. What warm ones do, it can do warm:
+// far more than latencies tell, which are of one core and of queues where all are loaded.
+func (a *Aggregator) coldRoom(p *part, r *replica) bool {
 	f := a.ramp(r)
 	if f >= 1 {
 		return true
@@ -687,12 +669,39 @@
 			work = max(work, c.work)
 		}
 	}
-	rate := f * coldSafety * a.set.Cold.Multiple * max(1/(work*float64(a.set.Roots)), a.warmRate)
-	room := max(1, rate*a.set.Cold.Window.Seconds())
+	least := 1 / (work * float64(a.set.Roots))
+	rate := f * coldSafety * a.set.Cold.Multiple * max(least, a.warmRate)
+	room := rate * a.set.Cold.Window.Seconds()
+	if time.Duration(a.refills-1)*refillEvery <= a.set.Cold.Window { // too young to know what it is asked for
+		p.q.luck[r] = 1 // none, later either: the budget was for this query too
+	} else if room < 1 { // no whole part: what each root saves for it lies idle
+		crowd := float64(a.set.Reach) // what failed elsewhere may be all that its siblings were sent
+		if len(p.attempts) == 0 {
+			crowd = a.crowd(r)
+		}
+		return p.q.luck.draw(r, a.rng.Float64)*crowd*max(a.askedRate, least) < rate
+	}
+	room = max(1, room)
 	r.coldTokens, r.coldAt = min(room, r.coldTokens+rate*(a.now-r.coldAt).Seconds()), a.now
 	return r.coldTokens >= 1
 }
 
+// crowd is the load that would come to a replica if it took all that is drawn for it, in equal shares: one
+// where all holders are warm, more where the others are cold, which take part of it only, or not there.
+func (a *Aggregator) crowd(r *replica) (sum float64) {
+	takes := func(o *replica) float64 { return min(1, coldSafety*a.set.Cold.Multiple*a.ramp(o)) }
+	for j := range a.set.Reach {
+		all := takes(r)
+		for _, o := range r.siblings {
+			if o.ready() && mod(o.Cell-r.Cell+j, a.set.Cells) < a.set.Reach {
+				all += takes(o)
+			}
+		}
+		sum += 1 / all
+	}
+	return sum
+}
+
 func (a *Aggregator) send(p *part, r *replica) {
 	if a.ramp(r) < 1 {
 		r.coldTokens--
@@ -767,13 +776,9 @@
 	at.detach(ev.Outcome == Full || ev.Outcome == ConnectFailed || ev.Outcome == Moot)
 	a.judge(at.r, p.q.cls, at, ev)
 	switch {
-	case ev.Outcome == Served && !p.q.cleared:
+	case ev.Outcome == Served:
 		p.q.cleared = true
-		delete(a.kinds, p.q.Key)
 	case ev.Outcome == Reset && !slices.Contains(p.q.died, at.r):
-		if p.q.Key != "" { // else the next queries are no kin of this one
-			a.scoutUntil = max(a.scoutUntil, a.now+p.q.cls.Deadline)
-		}
 		p.q.died = append(p.q.died, at.r)
 	}
 	if p.q.closed || !slices.Contains(p.q.parts, p) {
@@ -891,9 +896,6 @@
 	if !r.suspect {
 		r.suspect, r.suspectAt, a.dirty = true, a.now, true
 		r.pause = max(r.pause, a.firstPause())
-		if a.set.Peers && !r.restarted { // a broken connection may be its own fault
-			a.do(Tell{Replica: r.ID})
-		}
 	} else if at != nil && at.sent >= r.suspectAt {
 		r.pause = min(2*r.pause, scale(a.tightest, trialLast))
 	}
@@ -914,7 +916,6 @@
 			a.welcome(o)
 		}
 	}
-	a.scoutUntil = a.now
 	return true
 }
 
@@ -1038,7 +1039,7 @@
 	}
 }
 
-// forget drops replicas and kinds of query that are long over, for a long life brings ever new ones.
+// forget drops replicas that are long over, for a long life brings ever new ones.
 func (a *Aggregator) forget() {
 	over := func(r *replica) bool {
 		return r.State == Gone && len(r.out) == 0 && a.now-max(r.goneAt, r.usedAt) > keepGone
@@ -1049,7 +1050,6 @@
 		}
 	}
 	a.replicas = slices.DeleteFunc(a.replicas, over)
-	maps.DeleteFunc(a.kinds, func(_ string, k kind) bool { return a.now-k.until > keepGone })
 }
 
 // keepList subscribes where the list must be asked for, again after each refusal.
--- a/api.go
+++ b/api.go
@@ -26,7 +26,6 @@
 	MaxAttempts  int // for each part, the first included
 	SecondCopies bool
 	Cancel       bool
-	Peers        bool          // roots may send each other short messages
 	RetryAdvice  time.Duration // how long refused clients may be asked to stay away; 0 where they are told nothing
 
 	OverShareWorth float64 // worth of traffic beyond a tenant's share, 1 being the usual
@@ -143,7 +142,6 @@
 		Number     int64
 		Class      string
 		Tenant     string
-		Key        string        // the query's subject, empty where queries have none
 		ValidUntil time.Duration // when the client gives this try up
 		Parts      int
 		IsRetry    bool
@@ -176,8 +174,6 @@
 	QueryGone struct{ ID string }
 	// QueryDue tells that the root can hold a query no longer: it is to be ended now, as at the end of its time.
 	QueryDue struct{ ID string }
-	// Told brings a peer's word, which may be late, lost or wrong, that it takes a replica for ill.
-	Told struct{ Replica string }
 	// Woken answers a WakeIn.
 	Woken struct{}
 )
@@ -189,7 +185,6 @@
 func (AttemptEnded) isEvent() {}
 func (QueryGone) isEvent()    {}
 func (QueryDue) isEvent()     {}
-func (Told) isEvent()         {}
 func (Woken) isEvent()        {}
 
 // Action is something that the module asks its root to do, at the time of the step and in order.
@@ -222,8 +217,6 @@
 	Fail struct{ Query string }
 	// Disconnect closes the idle connections to a replica.
 	Disconnect struct{ Replica string }
-	// Tell tells all other roots that this one takes a replica for ill.
-	Tell struct{ Replica string }
 	// Subscribe asks for the list and its changes.
 	Subscribe struct{}
 	// WakeIn asks for a Woken event.
@@ -236,7 +229,6 @@
 func (Refuse) isAction()     {}
 func (Fail) isAction()       {}
 func (Disconnect) isAction() {}
-func (Tell) isAction()       {}
 func (Subscribe) isAction()  {}
 func (WakeIn) isAction()     {}
 
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -199,7 +198,7 @@
 		shard := f.num("segment_no")
 		if shard < 0 {
 			m.Event = harepass.QueryArrived{ID: f.str("tid"), Number: f.i64("group_no"),
-				Class: f.str("band"), Tenant: f.get("client_group"), Key: f.get("name_key"),
+				Class: f.str("band"), Tenant: f.get("client_group"),
 				ValidUntil: f.us("valid_until_us"), Parts: int(f.float("heft")),
 				IsRetry: f.optNum("options", 0)&optionRetry != 0}
 		} else {
@@ -211,12 +210,6 @@
 			Replica: f.str("leaf"), Outcome: f.outcome(), Took: f.us("time_taken_us")}
 	case "gone":
 		m.Event = harepass.QueryGone{ID: f.str("tid")}
-	case "mail":
-		data, err := hex.DecodeString(f.str("data"))
-		if err != nil && f.str("data") != "-" {
-			f.bad("data", "is not hex")
-		}
-		m.Event = harepass.Told{Replica: string(data)}
 	case "deadline_hit":
 		m.Event = harepass.Woken{}
 	default:
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -37,8 +37,6 @@
 			fmt.Fprintf(e.w, "surrender root_id=%s tid=%s\n", root, a.Query)
 		case harepass.Disconnect:
 			fmt.Fprintf(e.w, "disconnect root_id=%s leaf=%s\n", root, a.Replica)
-		case harepass.Tell:
-			fmt.Fprintf(e.w, "memo_to root_id=%s neighbour_id=all data=%x\n", root, a.Replica)
 		case harepass.Subscribe:
 			fmt.Fprintf(e.w, "observe root_id=%s entire=1\n", root)
 		case harepass.WakeIn:
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -23,7 +23,6 @@
 		MaxAttempts:    f.num("caps.most_tries"),
 		SecondCopies:   f.flag("caps.second_copies"),
 		Cancel:         f.flag("caps.cancel"),
-		Peers:          f.flag("caps.peers"),
 		OverShareWorth: f.optFloat("over_share_worth", 1),
 		Subscribe:      f.get("discovery") == "ask",
 		ListMaxAge:     f.optUS("rules.ask_every_us"),
--- a/state.go
+++ b/state.go
@@ -26,11 +26,9 @@
 	queries  map[string]*query
 	byNumber map[int64]*query
 	parts    map[string]*part
-	kinds    map[string]kind // by key
 
 	tightest   time.Duration // the tightest aim of any class
 	lastOK     time.Duration // when anything was served last
-	scoutUntil time.Duration // until then queries send one part first
 	heldUp     bool          // this step came late: the root itself stood still
 	still      bool          // no replica's standing or ratio changes any more in this step
 	idleLimit  time.Duration // connections unused for so long were lost
@@ -43,7 +41,10 @@
 	listPause  time.Duration
 	hedges     float64 // further attempts on suspicion that may be sent now
 	served     float64 // parts that warm replicas served since the last refill
-	warmRate   float64 // of them a second for each warm replica, decayed
+	asked      float64 // parts of admitted queries since then, for each ready replica
+	warmRate   float64 // of those served, a second for each warm replica, decayed
+	askedRate  float64 // of those asked
+	refills    float64
 	strain     float64 // how much longer than their bases parts take of late, those given up included
 	trials     float64 // trial parts that may be sent now
 	extras     []time.Duration
@@ -65,11 +66,6 @@
 	at                 time.Duration
 }
 
-type kind struct {
-	convicted int           // queries of the kind found deadly, none served since
-	until     time.Duration // until then the next ones are refused
-}
-
 // memo keeps a figure for the rest of a step.
 type memo struct {
 	turn  int
@@ -129,14 +125,14 @@
 type query struct {
 	QueryArrived
 	cls      *class
-	arrived  time.Duration
 	aim, end time.Duration
 	parts    []*part
 	step     int
 	floor    float64 // least share of the weight for an answer
 	weight   float64 // of the served parts of this step
 	whole    bool    // the first step's answer was whole
-	race     map[*replica]float64
+	race     lots
+	luck     lots       // with cold ones
 	died     []*replica // replicas that died with a part of it aboard
 	cleared  bool       // a part was served: it is not the query that kills
 	admitted bool
@@ -174,6 +170,18 @@
 
 type call struct{ turn, parts, size int }
 
+// lots are what a query has drawn for replicas, once for each.
+type lots map[*replica]float64
+
+func (l lots) draw(r *replica, from func() float64) float64 {
+	v, drawn := l[r]
+	if !drawn {
+		v = from()
+		l[r] = v
+	}
+	return v
+}
+
 // usualOf is the usual ratio of some replicas, computed once a step where it cannot change any more.
 func (a *Aggregator) usualOf(m *memo, some []*replica) float64 {
 	if !a.still {
