Large fleets shun full and silent nodes for longer, and refuse at once what only those hold

At fault: fullPause (0.04 s) and the trial pauses (0.08 to 0.76 s) are those of one root; 273 roots that each meet a node every few seconds never stop trying it, and admit asks for sections that nobody can serve.

Change: both pauses grow with roots / 5 (fleet; 1 for up to five roots, whose actions are unchanged: TestActionsUnchanged), up to ten of the longest trial pause. First attempts go to nodes that are not shunned. A part whose holders are all shunned is left out of a summary, down to its floor; other queries are refused before anything is sent. In such fleets an attempt is lost after five usual means, not ten: each query finds a silent node anew.

--- a/aggregator.go
+++ b/aggregator.go
@@ -33,6 +33,7 @@
 	silentFactor = 1.5  // overdue times without any answer that make a replica silent
 	keptFactor   = 0.5  // overdue times after which a replica may be keeping a class unanswered
 	lostFactor   = 10.0 // usual means after which an attempt is lost, not slow: a next one costs work
+	lostSoon     = 0.5  // of that in a larger fleet, whose roots find the silent each by a query of its own
 	slowFactor   = 3.0  // times its siblings' mean that make a replica too slow to be ready
 	backFactor   = 2.0  // a suspect's trial parts must be within so many of its siblings' means
 	trialShare   = 0.15 // trial parts, as a share of parts taken: suspects never take over a root's traffic
@@ -42,6 +43,7 @@
 	lastPause    = 0.2  // wait before a part's third attempt and on, of the aim: its shard is crowded or dying
 	waryFor      = 8.0  // tightest aims after an error in which a replica gets nothing that may not run twice
 	fullPause    = 0.1  // a full replica is let be for this share of the class's aim, more each time in a row
+	fewRoots     = 5.0  // a root of a larger fleet meets a replica more seldom, and pauses as much longer
 	heldUpFrom   = 0.1  // a wake later than this share of the tightest aim: the root itself stood still
 	idleSafety   = 0.7  // share of the idle time after which connections were lost that they are trusted for
 	idleGrow     = 1.03 // growth of that time at each refill: what drops connections may end
@@ -55,7 +57,6 @@
 	refuseAll    = 0.7  // and at which nearly all is refused
 	lightest     = 0.9  // weight, in a query's mean ones, under which a part brings little when refusals begin
 	refuseMost   = 0.9  // the rest keeps the prediction fresh; also the share of its time that a query may need
-	fatalDeaths  = 2    // replicas that die with a query before it is held to be the cause: one is chance
 	lookTurns    = 4    // turns between looks at open queries, and for the way to a client: far below any aim
 	weightSlack  = 1e-6 // rounding in sums of part weights
 )
@@ -78,6 +79,7 @@
 		a.byClass[c.Name] = k
 		a.partial = a.partial || c.Floor < c.Need
 	}
+	a.fleet = max(1, float64(s.Roots)/fewRoots)
 	a.tightest = slices.MinFunc(s.Classes, func(x, y Class) int { return int(x.Aim - y.Aim) }).Aim
 	for _, t := range s.Tenants {
 		rate := t.Quota / float64(s.Roots)
@@ -182,11 +184,10 @@
 		}
 		a.idleLimit = min(scale(a.idleLimit, idleGrow), never)
 		warm := count(a.replicas, func(r *replica) bool { return r.ready() && a.ramp(r) == 1 })
-		a.refills++
-		gain := max(1-rateKeep, 1/a.refills) // what a young root has seen counts in full
+		gain := max(1-rateKeep, 1/(a.refills+1)) // what a young root has seen counts in full
 		a.warmRate += gain * (a.served/max(1, warm) - a.warmRate)
 		a.askedRate += gain * (a.asked - a.askedRate)
-		a.served, a.asked = 0, 0
+		a.served, a.asked, a.refills = 0, 0, a.refills+1
 		a.withinBudget() // forgets what is past its window
 		a.forget()
 		for _, c := range a.classes {
@@ -362,19 +363,29 @@
 		return
 	}
 	a.asked += float64(len(q.parts)) / max(1, count(a.replicas, (*replica).ready))
-	// An answer in part does without crowded shards and, as load rises, light parts, half way to the floor.
+	// An answer in part does without shut shards; half way to the floor without crowded ones and light parts.
 	light := slices.Clone(q.parts)
 	slices.SortStableFunc(light, func(x, y *part) int { return cmp.Compare(x.Weight, y.Weight) })
 	little, sum := min((pressure-lateFrom)/(refuseFrom-lateFrom), lightest), q.cls.Need
 	for _, p := range light {
-		if sum-p.Weight > (q.cls.Need+q.floor)/2 && (p.Weight*float64(len(light)) < little ||
-			a.cost(p) > refuseMost*aim && a.rng.Float64() < refuseMost) {
-			p.left = true
-			sum -= p.Weight
+		shut := a.shut(p)
+		if rest := sum - p.Weight; shut && rest >= q.floor-weightSlack ||
+			rest > (q.cls.Need+q.floor)/2 && (p.Weight*float64(len(light)) < little ||
+				a.cost(p) > refuseMost*aim && a.rng.Float64() < refuseMost) {
+			p.left, sum = true, rest
+		} else if shut {
+			a.giveUp(q)
+			return
 		}
 	}
 }
 
+// shut tells that whoever could serve a part is shunned: it would but add to a crowd, and wait there in vain.
+func (a *Aggregator) shut(p *part) bool {
+	open := func(r *replica) bool { return a.now >= r.shunUntil }
+	return a.fleet > 1 && !slices.ContainsFunc(a.shardOf(p.Shard).holders, open)
+}
+
 // predict is the expected latency of the slowest part that the least answer needs.
 func (a *Aggregator) predict(q *query) float64 {
 	parts := slices.Clone(q.parts)
@@ -443,31 +454,22 @@
 		a.answer(q, q.step == 0 || q.whole)
 		return
 	}
-	// Some queries bring down whatever begins a part of them. One that lost a replica sends one part at a time
-	// until one is served; with the second death it is the cause.
-	scout := !q.cleared && len(q.died) > 0
-	if scout && len(q.died) >= fatalDeaths {
-		a.giveUp(q)
-		return
-	}
 	a.choose(q, need)
-	held := scout && slices.ContainsFunc(q.parts, func(p *part) bool { return p.outstanding() > 0 })
 	reach := q.weight // what could still come in
 	for _, p := range q.parts {
 		if !p.served && !p.left && a.live(p) {
 			reach += p.Weight
 		}
 		if p.wanted && !p.Held && !p.served && p.outstanding() == 0 && a.maySend(p) &&
-			a.now < q.end && a.now >= p.notBefore && !held {
+			a.now < q.end && a.now >= p.notBefore {
 			r, t := a.pick(p, false), a.due(p)
-			if t != nil && !scout {
+			if t != nil {
 				a.trials--
 				a.send(p, t)
 			}
-			if r != nil && (t == nil || scout || a.set.SecondCopies && a.maySend(p)) {
+			if r != nil && (t == nil || a.set.SecondCopies && a.maySend(p)) {
 				a.send(p, r)
 			}
-			held = scout
 		}
 	}
 	over, ready := a.now >= q.end, q.weight > 0 && q.weight >= floor-weightSlack
@@ -481,7 +483,7 @@
 		return
 	}
 	for _, p := range q.parts {
-		if p.wanted && !p.served && !scout {
+		if p.wanted && !p.served {
 			a.hedge(p)
 		}
 	}
@@ -585,9 +587,9 @@
 // pick draws a replica for the part's next attempt by the shares: among the ready ones not yet tried, then
 // the ready ones, then, since health never empties the choice, any listed: the failing last, after a pause.
 func (a *Aggregator) pick(p *part, second bool) *replica {
-	s := a.shardOf(p.Shard)
-	c := p.q.cls
-	fresh := func(r *replica) bool { return r.ready() && a.now >= r.barred[c.idx] && !p.tried(r) }
+	s, c := a.shardOf(p.Shard), p.q.cls
+	open := func(r *replica) bool { return r.ready() && a.now >= r.shunUntil }
+	fresh := func(r *replica) bool { return open(r) && a.now >= r.barred[c.idx] && !p.tried(r) }
 	if c.Repeat == SingleShot { // an error or silence loses such a part for good, and they come in runs
 		wary := scale(a.tightest, waryFor)
 		trusted := func(r *replica) bool { // with this class
@@ -603,7 +605,7 @@
 	}
 	for i, ok := range []func(*replica) bool{
 		fresh,
-		(*replica).ready,
+		open,
 		func(r *replica) bool { return !r.failing && !p.tried(r) }, // the slow and the silent come first
 		func(r *replica) bool { return a.now >= r.failedAt+a.firstPause() },
 	} {
@@ -632,8 +634,7 @@
 			least = min(least, a.busy(r))
 		}
 	}
-	var best *replica
-	low := math.Inf(1)
+	best, low := (*replica)(nil), math.Inf(1)
 	for _, i := range pool {
 		r := s.holders[i]
 		if a.busy(r) > least {
@@ -655,9 +656,8 @@
 	return r.calls
 }
 
-// coldRoom tells whether a replica can be sent a part: a cold one has a budget that follows its guaranteed
-// ramp, this root's part of what the fall rule allows, never in a burst. What warm ones do, it can do warm:
-// far more than latencies tell, which are of one core and of queues where all are loaded.
+// coldRoom tells whether a replica can be sent a part: a cold one has this root's part of what the fall rule
+// allows at its guaranteed ramp, never in a burst. What warm ones do, more than latencies tell, it can do.
 func (a *Aggregator) coldRoom(p *part, r *replica) bool {
 	f := a.ramp(r)
 	if f >= 1 {
@@ -738,7 +738,7 @@
 	}
 	// Where copies are barred, a part's only attempt is called off for the next one: a trial, or a lost one.
 	lost := !a.set.SecondCopies && a.set.Cancel && (at.trial || p.q.cls.Repeat == Free && !at.excused &&
-		a.hedges >= 1 && a.now-at.sent >= a.late(at.r, p.q.cls, silentFactor, lostFactor))
+		a.hedges >= 1 && a.now-at.sent >= a.late(at.r, p.q.cls, silentFactor, lostFactor*max(lostSoon, 1/a.fleet)))
 	free := lost || p.q.weight >= 1-hedgeShare
 	if at.ended || at.off || at.counted || a.hedges < 1 && !free ||
 		a.now-at.sent < a.late(at.r, p.q.cls, 1, hedgeFactor) {
@@ -775,12 +775,6 @@
 	at.r.usedAt = a.now
 	at.detach(ev.Outcome == Full || ev.Outcome == ConnectFailed || ev.Outcome == Moot)
 	a.judge(at.r, p.q.cls, at, ev)
-	switch {
-	case ev.Outcome == Served:
-		p.q.cleared = true
-	case ev.Outcome == Reset && !slices.Contains(p.q.died, at.r):
-		p.q.died = append(p.q.died, at.r)
-	}
 	if p.q.closed || !slices.Contains(p.q.parts, p) {
 		a.callOff(p)
 		return
@@ -812,7 +806,7 @@
 	case Served:
 		r.lastOK, r.okAt[c.idx], a.lastOK = a.now, a.now, a.now
 		a.served += math.Floor(a.ramp(r)) // by warm ones
-		r.errors, r.fulls, r.faults[c.idx], r.barred[c.idx] = 0, 0, 0, 0
+		r.errors, r.fulls, r.faults[c.idx], r.barred[c.idx], r.shunUntil = 0, 0, 0, 0, 0
 		c.seen[c.seenN%seenSize] = took
 		c.seenN++
 		if r.restarted && !r.suspect && at.sent >= r.resetAt { // it lost a connection, or was long away
@@ -839,6 +833,7 @@
 	case Full:
 		r.fulls++
 		r.fullUntil = a.now + scale(c.Aim, min(1, fullPause*float64(r.fulls)))
+		a.shun(r, scale(a.firstPause(), float64(min(r.fulls, 2))))
 		r.atLeast(c, c.Aim.Seconds()) // a full queue cannot meet the aim, and is load
 		c.base += baseGain * max(0, c.Aim.Seconds()-c.base)
 	case ConnectFailed: // nobody is there; who comes back may be a new process
@@ -878,6 +873,14 @@
 	r.ratio += ratioGain * max(0, seconds/c.base-r.ratio)
 }
 
+// shun keeps first attempts from a replica, for a pause that grows with the fleet, up to ten of the longest
+// of a lone root: the tries of all roots add up, and would keep a full one full.
+func (a *Aggregator) shun(r *replica, pause time.Duration) time.Duration {
+	pause = min(scale(pause, a.fleet), scale(a.tightest, 10*trialLast))
+	r.shunUntil = max(r.shunUntil, a.now+scale(pause, min(1, a.fleet-1)))
+	return pause
+}
+
 // fault counts an error or a part given up long overdue; several in a row make a suspect.
 func (a *Aggregator) fault(r *replica, at *attempt) {
 	if r.errors++; r.errors >= errorRun {
@@ -894,12 +897,11 @@
 // doubt takes a replica out of the ready ones; each failed trial doubles the pause before the next.
 func (a *Aggregator) doubt(r *replica, at *attempt) {
 	if !r.suspect {
-		r.suspect, r.suspectAt, a.dirty = true, a.now, true
-		r.pause = max(r.pause, a.firstPause())
+		r.suspect, r.suspectAt, r.pause, a.dirty = true, a.now, max(r.pause, a.firstPause()), true
 	} else if at != nil && at.sent >= r.suspectAt {
 		r.pause = min(2*r.pause, scale(a.tightest, trialLast))
 	}
-	r.good, r.trialAt = 0, a.now+r.pause
+	r.good, r.trialAt = 0, a.now+a.shun(r, r.pause)
 }
 
 // unused tells whether a suspect that serves right after a reset was never ill: the part went on a connection
--- a/state.go
+++ b/state.go
@@ -27,6 +27,7 @@
 	byNumber map[int64]*query
 	parts    map[string]*part
 
+	fleet      float64       // how much more seldom than in a small fleet a root meets a replica
 	tightest   time.Duration // the tightest aim of any class
 	lastOK     time.Duration // when anything was served last
 	heldUp     bool          // this step came late: the root itself stood still
@@ -94,7 +95,8 @@
 	lostAt    []time.Duration // by class: when one was given up last that it had kept for long
 	lastOK    time.Duration
 	fullUntil time.Duration
-	failing   bool // it fails at once, rather than being slow or silent
+	shunUntil time.Duration // until then nothing is sent to it first
+	failing   bool          // it fails at once, rather than being slow or silent
 	failedAt  time.Duration
 	resetAt   time.Duration // when a connection to it was last found broken
 	errorAt   time.Duration // when it last answered with an error
@@ -132,9 +134,7 @@
 	weight   float64 // of the served parts of this step
 	whole    bool    // the first step's answer was whole
 	race     lots
-	luck     lots       // with cold ones
-	died     []*replica // replicas that died with a part of it aboard
-	cleared  bool       // a part was served: it is not the query that kills
+	luck     lots // with cold ones
 	admitted bool
 	late     bool
 	closed   bool
