Operators' door, nodes out by hand, hand-over to a new version, settings on SIGHUP

Change: internal/operator takes one line a connection and keeps what was said in a file for each process; decide/outage turns the sources' list into what the module hears; the book and discovery's list go over to the next process by $TMPDIR. With PROXY_FD the program accepts on that socket once it is ready and stops at SIGTERM. Settings are compared by decide/retune, and taken over whole by the owner and the module (Configure), where classes under way stay beside the new ones.

--- a/aggregator.go
+++ b/aggregator.go
@@ -65,28 +65,34 @@
 
 // New checks the settings and returns an Aggregator with nothing in hand.
 func New(seed uint64, s Settings) (*Aggregator, error) {
+	a := &Aggregator{rng: rand.New(rand.NewPCG(seed, 0x756d62)), byID: map[string]*replica{},
+		shards: map[int]*shard{}, queries: map[string]*query{}, byNumber: map[int64]*query{},
+		parts: map[string]*part{}, strain: 1, hedges: hedgeBurst, idleLimit: never}
+	return a, a.Configure(s)
+}
+
+// Configure checks settings and goes by them from now on; on an error nothing has changed.
+func (a *Aggregator) Configure(s Settings) error {
 	if err := s.validate(); err != nil {
-		return nil, err
-	}
-	a := &Aggregator{set: s, rng: rand.New(rand.NewPCG(seed, 0x756d62)), byClass: map[string]*class{},
-		tenants: map[string]*tenant{}, byID: map[string]*replica{}, shards: map[int]*shard{},
-		queries: map[string]*query{}, byNumber: map[int64]*query{}, parts: map[string]*part{},
-		strain: 1, hedges: hedgeBurst, idleLimit: never, dirty: true}
-	for i, c := range s.Classes {
-		k := &class{Class: c, idx: i, overdue: scale(c.Aim, hedgeLast), work: startMean * c.Aim.Seconds(),
-			base: startMean * c.Aim.Seconds()}
-		a.classes = append(a.classes, k)
-		a.byClass[c.Name] = k
-		a.partial = a.partial || c.Floor < c.Need
-	}
-	a.fleet = max(1, float64(s.Roots)/fewRoots)
+		return err
+	}
+	a.reclass(s)
+	a.set, a.dirty, a.fleet = s, true, max(1, float64(s.Roots)/fewRoots)
+	a.relateAll()
+	a.partial = slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Floor < c.Need })
 	a.tightest = slices.MinFunc(s.Classes, func(x, y Class) int { return int(x.Aim - y.Aim) }).Aim
+	tenants := map[string]*tenant{}
 	for _, t := range s.Tenants {
 		rate := t.Quota / float64(s.Roots)
-		room := max(rate*burstSeconds, burstLeast)
-		a.tenants[t.Name] = &tenant{rate: rate, room: room, tokens: room}
+		tenants[t.Name] = a.tenants[t.Name].with(rate, max(rate*burstSeconds, burstLeast))
 	}
-	return a, nil
+	a.tenants = tenants
+	return nil
+}
+
+func newClass(c Class, most int) *class {
+	return &class{Class: c, most: most, overdue: scale(c.Aim, hedgeLast), work: startMean * c.Aim.Seconds(),
+		base: startMean * c.Aim.Seconds()}
 }
 
 // Step takes what happened at now and returns what to do, in order. now never goes back.
@@ -551,7 +557,7 @@
 // maySend tells whether the class bears another attempt of the part now.
 func (a *Aggregator) maySend(p *part) bool {
 	c := p.q.cls
-	return len(p.attempts) == 0 || len(p.attempts) < a.set.MaxAttempts && a.withinBudget() &&
+	return len(p.attempts) == 0 || len(p.attempts) < c.most && a.withinBudget() &&
 		(c.Repeat == Free || !p.mayRun || c.Repeat == Guarded && a.now-p.firstRun <= c.Window)
 }
 
@@ -1012,11 +1018,7 @@
 		if r == nil {
 			r = newReplica(e, len(a.classes))
 			a.byID[e.ID] = r
-			for _, o := range a.replicas { // siblings hold a shard in common
-				if d := mod(r.Cell-o.Cell, a.set.Cells); min(d, a.set.Cells-d) < a.set.Reach {
-					r.siblings, o.siblings = append(r.siblings, o), append(o.siblings, r)
-				}
-			}
+			a.relate(r)
 			a.replicas = append(a.replicas, r)
 			a.join(r)
 			a.chill(r, e.Since)
--- a/cmd/harepass/config.go
+++ b/cmd/harepass/config.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"reflect"
 	"strconv"
 
 	"harepass"
@@ -23,10 +22,13 @@
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
+	Operator  string          `json:"operator"` // where operators' calls are taken; empty for nowhere
 	Seed      string          `json:"seed"`
 	Limits    limits          `json:"limits"`
 	Known     platform.List   `json:"known"`
 	Settings  json.RawMessage `json:"settings"`
+
+	data []byte // the file
 }
 
 type limits struct {
@@ -43,6 +45,12 @@
 	clientMemory = 128 << 10
 )
 
+// half is what one process may use where a new version is started beside it: both together keep the limits.
+func (l limits) half() limits {
+	l.MemoryMB, l.Sockets = max(1, l.MemoryMB/2), l.Sockets/2
+	return l
+}
+
 // nodes is how many connections to nodes there may be, besides the first one to each.
 func (l limits) nodes() int { return max(1, l.Sockets/4) }
 
@@ -65,6 +73,7 @@
 // setup is all that a coordinator is to know before it starts. A front that is off is nil.
 type setup struct {
 	config     *config
+	socket     int // the descriptor of the clients' socket where the platform holds that; 0 where it does not
 	search     *opensearch.Config
 	settings   harepass.Settings
 	caps       wire.Limits
@@ -120,17 +129,21 @@
 }
 
 func (s *setup) readPlatform(data []byte, getenv func(string) string) error {
-	c := &config{Limits: defaultLimits}
+	c := &config{Limits: defaultLimits, data: data}
 	err := json.Unmarshal(data, c)
 	if err != nil {
 		return err
 	}
-	for name, field := range map[string]*string{"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery} {
+	for name, field := range map[string]*string{"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen,
+		"PROXY_DISCOVERY": &c.Discovery, "PROXY_OPERATOR": &c.Operator} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
 	}
-	for _, a := range []struct{ what, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	for _, a := range []struct{ what, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"operator", c.Operator}} {
+		if a.address == "" && a.what == "operator" {
+			continue
+		}
 		if a.address == "" {
 			return fmt.Errorf("no %s address", a.what)
 		}
@@ -148,19 +161,16 @@
 		return fmt.Errorf("limits %+v are too low", c.Limits)
 	}
 	s.config, s.limits = c, c.Limits
+	if fd := getenv("PROXY_FD"); fd != "" {
+		if s.socket, err = strconv.Atoi(fd); err != nil || s.socket < 3 {
+			return fmt.Errorf("PROXY_FD %q is no descriptor that is handed down", fd)
+		}
+		s.limits = s.limits.half()
+	}
 	s.known, err = c.Known.Nodes()
 	return err
 }
 
-// sameBut tells whether two configurations differ at most in what each reading may bring anew.
-func (c *config) sameBut(o *config) bool {
-	x, y := *c, *o
-	for _, z := range []*config{&x, &y} {
-		z.Discovery, z.Seed, z.Known = "", "", platform.List{}
-	}
-	return reflect.DeepEqual(x, y)
-}
-
 // loadSearch reads the OpenSearch front's file and what it points to.
 func (s *setup) loadSearch(clock core.Clock) error {
 	c, err := opensearch.LoadConfig(s.searchPath)
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -24,6 +24,7 @@
 	"harepass/internal/http1"
 	"harepass/internal/inventory"
 	"harepass/internal/opensearch"
+	"harepass/internal/operator"
 	"harepass/internal/platform"
 )
 
@@ -42,6 +43,7 @@
 type files struct {
 	search, overload string
 	trace            bool
+	against          string
 }
 
 // flags are those of serve and check.
@@ -52,6 +54,9 @@
 	if name == "serve" {
 		fs.BoolVar(&f.trace, "trace", false, "write each query, attempt, connection and list call to the log; for a look, not for service")
 	}
+	if name == "check" {
+		fs.StringVar(&f.against, "against", "", "the configuration in force: lists what PROXY_CONFIG's settings would change in it")
+	}
 	return f, parse(fs, args, out)
 }
 
@@ -65,9 +70,16 @@
 	if err == nil {
 		_, err = core.New(core.Config{Settings: s.settings})
 	}
+	var changes []string
+	if err == nil && paths.against != "" {
+		changes, err = s.compareWith(paths.against)
+	}
 	if err != nil {
 		return usageError{err}
 	}
+	for _, c := range changes {
+		fmt.Fprintln(out, "change:", c)
+	}
 	fmt.Fprintf(out, "settings: %d classes, %d tenants, %d cells\n", len(s.settings.Classes), len(s.settings.Tenants), s.settings.Cells)
 	if s.config != nil {
 		fmt.Fprintf(out, "platform: %s on %s, discovery at %s\n", s.config.Name, s.config.Listen, s.config.Discovery)
@@ -97,6 +109,9 @@
 	closers []func()
 	servers []*http1.Server
 	listens []net.Listener
+	staff   *operator.Register // nil where operators have no door
+	frames  *platform.Nodes
+	watch   *guard.Guard // nil where overload control is off
 }
 
 func serve(args []string, out io.Writer) error {
@@ -137,13 +152,13 @@
 func (p *program) start(ctx context.Context) error {
 	frames := &platform.Nodes{Streams: p.caps.Streams, Most: p.limits.nodes(), ConnectTimeout: p.caps.ConnectTimeout,
 		Quiet: p.quietTime(), KeepAlive: p.caps.KeepAlive}
-	cfg := core.Config{Seed: p.seed, Settings: p.settings, Limits: core.Limits{Open: p.caps.Open, Shards: p.caps.Shards, Drain: p.drainTime()}, Clock: p.clock,
+	p.frames = frames
+	cfg := core.Config{Seed: p.seed, Settings: p.settings, Limits: p.coreLimits(), Clock: p.clock,
 		Callers: map[string]core.Caller{platform.Scheme: frames}, Subscribe: func() {}, Asked: inventory.Source}
 	p.closers = append(p.closers, frames.Close)
-	var watch *guard.Guard
 	if p.overload != nil {
-		watch = guard.New(p.overload.control(p.settings, p.limits, p.config != nil), p.clock)
-		cfg.Gate = watch
+		p.watch = guard.New(p.overload.control(p.settings, p.limits, p.config != nil), p.clock)
+		cfg.Gate = p.watch
 	}
 	var api *opensearch.Nodes
 	if p.search != nil {
@@ -157,7 +172,8 @@
 		p.closers = append(p.closers, api.Close)
 	}
 	if p.config != nil {
-		p.disc = platform.NewDiscovery(p.config.Discovery, p.config.Known)
+		known := p.takeOver()
+		p.disc = platform.NewDiscovery(p.config.Discovery, known)
 		p.disc.Pace = &pace.Pace{Fleet: p.settings.Roots, Told: p.settings.ListMaxAge, Rand: rand.New(rand.NewPCG(p.seed, 0x70616365))}
 		cfg.Subscribe, cfg.Asked = p.disc.Subscribe, platform.Source
 	}
@@ -167,9 +183,14 @@
 	}
 	p.owner, frames.Owner = owner, owner
 	go owner.Run()
-	if watch != nil {
-		watch.Squeeze, watch.Turning, watch.Descriptors = owner.Squeeze, owner.Turning, p.descriptors
-		go watch.Run(ctx)
+	if p.staff != nil {
+		if err := p.openDoor(ctx); err != nil {
+			return err
+		}
+	}
+	if p.watch != nil {
+		p.watch.Squeeze, p.watch.Turning, p.watch.Descriptors = owner.Squeeze, owner.Turning, p.descriptors
+		go p.watch.Run(ctx)
 	}
 	if p.inventory != nil {
 		owner.Listed(inventory.Source, harepass.ListFull, p.hosts)
@@ -194,7 +215,12 @@
 	for i, s := range p.servers {
 		s.Conns = max(1, p.limits.clients()/len(p.servers))
 		s.Idle = max(1, p.limits.idle()/len(p.servers))
-		go s.Serve(p.listens[i])
+		go func() {
+			if p.socket > 0 { // who knocks meanwhile waits, or is another process's
+				<-owner.Started()
+			}
+			s.Serve(p.listens[i])
+		}()
 	}
 	return nil
 }
@@ -208,7 +234,7 @@
 }
 
 func (p *program) listen(address string, s *http1.Server) error {
-	l, err := net.Listen("tcp", address)
+	l, err := p.socketAt(address)
 	if err != nil {
 		return err
 	}
@@ -236,46 +262,24 @@
 	p.owner.Listed(inventory.Source, harepass.ListFull, nodes)
 }
 
-// reloadPlatform follows discovery to its new address. PROXY_DISCOVERY holds what it was at the start, so
-// from now on the file decides. Whatever else has changed is bound to what runs already.
-func (p *program) reloadPlatform() error {
-	next, err := loadPlatform(func(name string) string {
-		if name == "PROXY_DISCOVERY" {
-			return ""
-		}
-		return os.Getenv(name)
-	})
-	if err == nil {
-		_, err = core.New(core.Config{Settings: next.settings})
-	}
-	if err != nil {
-		return err
-	}
-	if !next.config.sameBut(p.config) {
-		slog.Warn("only a new discovery address is taken over; other changes need a restart")
-	}
-	if next.config.Discovery != p.config.Discovery {
-		p.config.Discovery = next.config.Discovery
-		p.disc.Move(next.config.Discovery)
-	}
-	slog.Info("configuration reloaded", "discovery", p.config.Discovery)
-	return nil
-}
-
 // drain answers all that is taken, and takes what still comes while clients learn that this coordinator ends:
 // they go on using the connections that they have, and another coordinator may not be up yet. So these are
-// closed one by one, each with an answer, only when no new ones come any more.
+// closed one by one, each with an answer, only when no new ones come any more. Where the platform holds the clients'
+// socket, whoever knocks from now on waits for the process that takes it over, and none comes to this one.
 func (p *program) drain() {
 	slog.Info("draining")
+	began := time.Now()
 	p.owner.Drain()
-	time.Sleep(acceptAfterTerm)
+	if p.socket == 0 {
+		time.Sleep(acceptAfterTerm)
+	}
 	for _, l := range p.listens {
 		l.Close()
 	}
 	for _, s := range p.servers {
 		s.Drain()
 	}
-	time.Sleep(closeAfterTerm - acceptAfterTerm)
+	time.Sleep(closeAfterTerm - time.Since(began))
 	for _, s := range p.servers {
 		s.Shutdown()
 	}
@@ -286,6 +290,10 @@
 	slog.Info("stopped")
 }
 
+func (p *program) coreLimits() core.Limits {
+	return core.Limits{Open: p.caps.Open, Shards: p.caps.Shards, Drain: p.drainTime()}
+}
+
 // quietTime is how long a node's connection may be silent while answers are awaited: far longer than a part
 // takes, but short enough to ask another node within the tightest aim.
 func (p *program) quietTime() time.Duration {
--- /dev/null
+++ b/cmd/harepass/upgrade.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"harepass/internal/operator"
+	"harepass/internal/platform"
+)
+
+// This file is what a process has in common with the one that it takes over from, or that takes over from it.
+
+// stateFolder is below the folder that the platform leaves as it was when it starts a new version beside the old one.
+const stateFolder = "harepass"
+
+// takeOver reads what another process has left and returns the list to begin with: its list, which is later than the
+// configuration's. Of a list from another address the version means nothing, so discovery is asked for all of it.
+func (p *program) takeOver() platform.List {
+	known := p.config.Known
+	if p.config.Operator == "" {
+		return known
+	}
+	var files *operator.Files
+	if dir := os.Getenv("TMPDIR"); dir != "" {
+		var err error
+		if files, err = operator.OpenFiles(filepath.Join(dir, stateFolder), time.Now()); err != nil {
+			slog.Error("calls of operators will not outlive this process", "err", err)
+		}
+	}
+	p.staff = operator.NewRegister(p.config.Name, files, p.clock)
+	data, from := p.staff.Found()
+	if len(data) == 0 {
+		return known
+	}
+	var found platform.List
+	err := json.Unmarshal(data, &found)
+	nodes, bad := found.Nodes()
+	if err = errors.Join(err, bad); err != nil {
+		slog.Warn("the other process's list is not used", "err", err)
+		return known
+	}
+	p.known = nodes
+	slog.Info("list taken over", "nodes", len(nodes), "version", found.Index)
+	if from != p.config.Discovery {
+		return platform.List{}
+	}
+	return found
+}
+
+// openDoor lets operators in. From here on what they say is kept for the process that comes next.
+func (p *program) openDoor(ctx context.Context) error {
+	l, err := net.Listen("tcp", p.config.Operator)
+	if err != nil {
+		return fmt.Errorf("operators' door: %w", err)
+	}
+	p.staff.Owner = p.owner
+	p.disc.Kept = func(address string, whole platform.List) {
+		data, err := json.Marshal(whole)
+		if err != nil {
+			slog.Error("list not kept", "err", err)
+			return
+		}
+		p.staff.Listed(address, data)
+	}
+	go p.staff.Run(ctx)
+	door := &operator.Door{Desk: p.staff}
+	go door.Serve(l)
+	p.closers = append(p.closers, func() { l.Close(); door.Close() })
+	slog.Info("operators' door", "listen", l.Addr().String())
+	return nil
+}
+
+// socketAt is the clients' socket where the platform hands one down, else one of our own.
+func (p *program) socketAt(address string) (net.Listener, error) {
+	if p.socket == 0 || p.config == nil || address != p.config.Listen {
+		return net.Listen("tcp", address)
+	}
+	f := os.NewFile(uintptr(p.socket), "PROXY_FD")
+	if f == nil {
+		return nil, fmt.Errorf("PROXY_FD names descriptor %d, which is not open", p.socket)
+	}
+	defer f.Close()
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_FD names descriptor %d, which is no listening socket: %w", p.socket, err)
+	}
+	return l, nil
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -17,6 +16,7 @@
 	"time"
 
 	"harepass"
+	"harepass/internal/decide/outage"
 	"harepass/internal/decide/overload"
 	"harepass/internal/decide/twophase"
 )
@@ -191,6 +191,14 @@
 	list      bool          // discovery has answered, be it with a refusal, or the remembered list has to do
 	ending    bool          // to stop when nothing is open
 	words     words
+
+	facts   atomic.Pointer[facts]
+	outages atomic.Pointer[outage.Book] // the latest one, from any goroutine
+	news    chan struct{}               // holds a token when there is a later one
+	heeded  *outage.Book                // that the module has heard of
+	book    outage.Book                 // the same
+	bare    []int                       // sections that were logged last as lost by it
+	known   atomic.Pointer[map[string]struct{}]
 }
 
 type listedNode struct {
@@ -227,18 +235,18 @@
 // New returns an Owner in the phase Starting.
 func New(cfg Config) (*Owner, error) {
 	agg, err := harepass.New(cfg.Seed, withFirsts(cfg.Settings, cfg.Firsts))
+	if err == nil {
+		err = servable(cfg.Settings)
+	}
 	if err != nil {
 		return nil, err
 	}
-	for _, c := range cfg.Settings.Classes {
-		if c.SecondStep > 0 {
-			return nil, fmt.Errorf("%w: %s", ErrSecondStep, c.Name)
-		}
-	}
 	cfg.Log = cmp.Or(cfg.Log, slog.Default())
-	return &Owner{cfg: cfg, agg: agg, queue: make(chan posted, queueSize), done: make(chan struct{}),
+	o := &Owner{cfg: cfg, agg: agg, queue: make(chan posted, queueSize), news: make(chan struct{}, 1), done: make(chan struct{}),
 		ready: make(chan struct{}), queries: map[string]*query{}, byQuery: map[*Query]*query{},
-		ids: map[string]struct{}{}, parts: map[string]*part{}, firsts: map[string]*first{}, ables: map[int]bool{}, nodes: map[string]listedNode{}, deadlines: newDeadlines()}, nil
+		ids: map[string]struct{}{}, parts: map[string]*part{}, firsts: map[string]*first{}, ables: map[int]bool{}, nodes: map[string]listedNode{}, deadlines: newDeadlines()}
+	o.facts.Store(&facts{cfg.Settings, cfg.Limits})
+	return o, nil
 }
 
 // message is something that another goroutine tells the owner.
@@ -312,6 +320,8 @@
 		select {
 		case m := <-o.queue:
 			o.turn(m)
+		case <-o.news:
+			o.turn()
 		case <-timer.C:
 			o.turn()
 		}
@@ -322,6 +332,7 @@
 func (o *Owner) turn(first ...posted) {
 	o.now = max(o.now, o.cfg.Clock())
 	o.began.Store(int64(o.now))
+	o.heed()
 	for _, m := range first {
 		o.take(m)
 	}
@@ -357,8 +368,8 @@
 		m.q.Done(Answer{Verdict: Invalid, Reason: "the id is taken"})
 		return
 	}
-	if o.cfg.Limits.Open > 0 && o.held+size > o.cfg.Limits.Open {
-		m.q.Done(Answer{Verdict: Refused, RetryIn: o.cfg.Settings.RetryAdvice})
+	if o.set().limits.Open > 0 && o.held+size > o.set().limits.Open {
+		m.q.Done(Answer{Verdict: Refused, RetryIn: o.set().RetryAdvice})
 		return
 	}
 	if o.drainEnd > 0 {
@@ -417,7 +428,7 @@
 		} else {
 			o.nodes[n.ID] = listedNode{n, m.source}
 		}
-		ev.Replicas = append(ev.Replicas, n.Replica)
+		ev.Replicas = append(ev.Replicas, o.book.Told(n.Replica))
 	}
 	for id, n := range before { // what is out there still has its connection, which ends when it has been idle
 		if _, here := o.nodes[id]; !here && o.cfg.Callers[n.Scheme] != nil {
@@ -425,12 +436,10 @@
 		}
 	}
 	if ev.Scope == harepass.ListFull || ev.Scope == harepass.ListRemembered {
-		ev.Replicas = nil
-		for _, id := range slices.Sorted(maps.Keys(o.nodes)) {
-			ev.Replicas = append(ev.Replicas, o.nodes[id].Replica)
-		}
+		ev.Replicas = o.replicas()
 	}
 	o.events = append(o.events, ev)
+	o.noteList()
 	clear(o.ables)
 	o.list = o.list || m.scope != harepass.ListRemembered && m.source == o.cfg.Asked
 }
@@ -571,7 +580,7 @@
 	for _, id := range order {
 		node, list := o.nodes[id], calls[id]
 		for len(list) > 0 {
-			n := min(len(list), max(1, o.cfg.Settings.CallBatch))
+			n := min(len(list), max(1, o.set().CallBatch))
 			o.cfg.Callers[node.Scheme].Call(node.Node, list[:n:n])
 			list = list[n:]
 		}
@@ -604,12 +613,12 @@
 // check finds what makes a query one that could not be served, as far as the settings tell; it is for any
 // goroutine. A client's time is cut to what its class allows.
 func (o *Owner) check(q *Query) (reason string) {
-	class := slices.IndexFunc(o.cfg.Settings.Classes, func(c harepass.Class) bool { return c.Name == q.Class })
-	tenants := o.cfg.Settings.Tenants
+	set := o.set()
+	class, tenants := set.class(q.Class), set.Tenants
 	switch now := o.cfg.Clock(); {
 	case q.ID == "" || len(q.ID) > longestID || strings.ContainsFunc(q.ID, notInID):
 		return "bad id"
-	case class < 0:
+	case class == nil:
 		return "unknown class"
 	case q.Tenant != "" && len(tenants) > 0 && !slices.ContainsFunc(tenants, func(t harepass.Tenant) bool { return t.Name == q.Tenant }):
 		return "unknown tenant"
@@ -618,12 +627,12 @@
 	case len(q.Parts) == 0:
 		return "no parts"
 	default:
-		q.Until = min(q.Until, now+o.cfg.Settings.Classes[class].Deadline)
+		q.Until = min(q.Until, now+class.Deadline)
 	}
 	sum, seen := 0.0, map[int]bool{}
 	for _, p := range q.Parts {
 		switch {
-		case p.Shard < 0 || o.cfg.Limits.Shards > 0 && p.Shard >= o.cfg.Limits.Shards:
+		case p.Shard < 0 || set.limits.Shards > 0 && p.Shard >= set.limits.Shards:
 			return fmt.Sprintf("unknown shard %d", p.Shard)
 		case seen[p.Shard]:
 			return fmt.Sprintf("shard %d twice", p.Shard)
@@ -657,7 +666,7 @@
 	answers := make(chan Answer, 1)
 	q.Done = func(a Answer) { answers <- a }
 	if !o.Submit(q) {
-		return Answer{Verdict: Refused, RetryIn: o.cfg.Settings.RetryAdvice}
+		return Answer{Verdict: Refused, RetryIn: o.set().RetryAdvice}
 	}
 	select {
 	case a := <-answers:
--- a/internal/core/first.go
+++ b/internal/core/first.go
@@ -49,15 +49,13 @@
 		return nil
 	}
 	ask := twophase.Ask{Topic: q.topic(), Text: string(q.Text), Able: o.able, Now: o.now}
-	for _, c := range o.cfg.Settings.Classes {
-		if c.Name == q.Class {
-			ask.Aim = min(q.Until, o.now+c.Aim)
-		}
+	if c := o.set().class(q.Class); c != nil {
+		ask.Aim = min(q.Until, o.now+c.Aim)
 	}
 	for _, p := range q.parts {
 		ask.Sections = append(ask.Sections, p.shard)
 	}
-	if o.cfg.Limits.Open > 0 && o.held+1+len(q.parts) > o.cfg.Limits.Open {
+	if o.set().limits.Open > 0 && o.held+1+len(q.parts) > o.set().limits.Open {
 		ask.Able = func(int) bool { return false } // no room for a first phase
 	}
 	plan := o.cfg.Planner.Plan(ask)
@@ -78,9 +76,9 @@
 func (o *Owner) able(shard int) bool {
 	able, known := o.ables[shard]
 	if !known {
-		cells := o.cfg.Settings.Cells
+		cells := o.set().Cells
 		for _, n := range o.nodes {
-			if n.State == harepass.Ready && ((n.Cell-shard)%cells+cells)%cells < o.cfg.Settings.Reach {
+			if o.book.Told(n.Replica).State == harepass.Ready && ((n.Cell-shard)%cells+cells)%cells < o.set().Reach {
 				if able = o.cfg.Schemes[n.Scheme]; !able {
 					break
 				}
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -45,7 +45,7 @@
 		return true, 0
 	}
 	ok, retryIn = o.cfg.Gate.Admit(a)
-	if o.cfg.Settings.RetryAdvice == 0 { // clients are not to be told
+	if o.set().RetryAdvice == 0 { // clients are not to be told
 		retryIn = 0
 	}
 	return ok, retryIn
@@ -75,8 +75,8 @@
 	t := o.waited
 	o.waited = Turn{}
 	t.Took, t.Held = o.cfg.Clock()-o.now, o.bytes
-	if o.cfg.Limits.Open > 0 {
-		t.Open = float64(o.held) / float64(o.cfg.Limits.Open)
+	if o.set().limits.Open > 0 {
+		t.Open = float64(o.held) / float64(o.set().limits.Open)
 	}
 	o.cfg.Gate.Turn(t)
 }
@@ -121,11 +121,11 @@
 // client would not know whether it did.
 func (o *Owner) holding(q *query) overload.Holding {
 	h := overload.Holding{Bytes: q.bytes, Worth: math.SmallestNonzeroFloat64}
-	for _, c := range o.cfg.Settings.Classes {
-		if c.Name == q.Class {
-			h.Worth = c.Worth
-			h.Kept = c.Repeat != harepass.Free
-		}
+	if c := o.set().class(q.Class); c != nil {
+		h.Worth = c.Worth
+		h.Kept = c.Repeat != harepass.Free
+	} else { // of settings that are over
+		h.Kept = true
 	}
 	if h.Kept {
 		h.Kept = slices.ContainsFunc(q.parts, func(p *part) bool { return len(p.attempts) > 0 })
--- a/internal/core/gate_test.go
+++ b/internal/core/gate_test.go
@@ -44,7 +44,7 @@
 	if a := r.Ask(q, gone); a.Verdict != Failed || len(k.asked) != 1 {
 		t.Errorf("%+v, asked %d times", a, len(k.asked))
 	}
-	r.cfg.Settings.RetryAdvice = 0 // clients may not be told when to come back
+	r = newRig(t, func(c *Config) { c.Gate, c.Settings.RetryAdvice = k, 0 }) // clients may not be told when to come back
 	if a := r.Ask(r.query("free", 0), nil); a.RetryIn != 0 {
 		t.Errorf("told to come back in %v", a.RetryIn)
 	}
--- /dev/null
+++ b/internal/core/outages.go
@@ -0,0 +1,84 @@
+package core
+
+import (
+	"errors"
+	"maps"
+	"slices"
+
+	"harepass"
+	"harepass/internal/decide/outage"
+)
+
+// This file is the owner's part in nodes that operators have taken out: the module hears of the list as the book tells it.
+
+// Outages brings the book as it is from now on. It does not wait, be the owner's queue as long as it may.
+func (o *Owner) Outages(b outage.Book) {
+	o.outages.Store(&b)
+	select {
+	case o.news <- struct{}{}:
+	default:
+	}
+}
+
+// Knows tells whether some source lists a node; for any goroutine.
+func (o *Owner) Knows(id string) bool {
+	known := o.known.Load()
+	if known == nil {
+		return false
+	}
+	_, ok := (*known)[id]
+	return ok
+}
+
+// Serving tells why the owner does not take queries; for any goroutine.
+func (o *Owner) Serving() error {
+	if p := o.Phase(); p != Ready {
+		return errors.New(p.String())
+	}
+	return nil
+}
+
+// heed takes over the latest book, before all else in a turn.
+func (o *Owner) heed() {
+	b := o.outages.Load()
+	if b == nil || b == o.heeded {
+		return
+	}
+	o.heeded, o.book = b, *b
+	clear(o.ables)
+	o.events = append(o.events, harepass.ListReceived{Scope: harepass.ListRemembered, Replicas: o.replicas()})
+	o.warnBare()
+}
+
+// replicas is the whole list as the module is to hear it.
+func (o *Owner) replicas() (list []harepass.Replica) {
+	for _, id := range slices.Sorted(maps.Keys(o.nodes)) {
+		list = append(list, o.book.Told(o.nodes[id].Replica))
+	}
+	return list
+}
+
+// noteList makes the list known to other goroutines.
+func (o *Owner) noteList() {
+	known := make(map[string]struct{}, len(o.nodes))
+	for id := range o.nodes {
+		known[id] = struct{}{}
+	}
+	o.known.Store(&known)
+	if len(o.book) > 0 {
+		o.warnBare()
+	}
+}
+
+// warnBare logs which sections have lost all holders by hand, when that changes. They stay lost: the rule holds.
+func (o *Owner) warnBare() {
+	var list []harepass.Replica
+	for _, n := range o.nodes {
+		list = append(list, n.Replica)
+	}
+	bare := o.book.Bare(list, o.set().Cells, o.set().Reach, o.set().limits.Shards)
+	if !slices.Equal(bare, o.bare) {
+		o.bare = bare
+		o.cfg.Log.Warn("sections whose nodes are all out by hand", "sections", bare, "do", "call one of their nodes back")
+	}
+}
--- a/internal/core/phase.go
+++ b/internal/core/phase.go
@@ -33,8 +33,8 @@
 // apply also bounds the time of what is taken from now on, for the end is near.
 func (draining) apply(o *Owner) {
 	o.to(Draining)
-	if o.cfg.Limits.Drain > 0 && o.drainEnd == 0 {
-		o.drainEnd = o.now + o.cfg.Limits.Drain
+	if o.set().limits.Drain > 0 && o.drainEnd == 0 {
+		o.drainEnd = o.now + o.set().limits.Drain
 	}
 }
 
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -57,8 +57,8 @@
 func (o *Owner) traceAnswer(q *query, a Answer) {
 	took := o.now - q.taken
 	bad := a.Verdict == Failed
-	for _, c := range o.cfg.Settings.Classes {
-		bad = bad || c.Name == q.Class && took > c.Aim
+	if c := o.set().class(q.Class); c != nil {
+		bad = bad || took > c.Aim
 	}
 	level := slog.LevelDebug
 	if bad {
--- /dev/null
+++ b/internal/decide/outage/outage_test.go
@@ -0,0 +1,124 @@
+package outage
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"harepass"
+
+	"pgregory.net/rapid"
+)
+
+// Two processes take calls, sources list what they like, books travel late, twice and in any order. A model keeps who
+// was called last, by the moment of the call.
+func TestBooksAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SampledFrom([]string{"a", "b", "c"})
+		books := []Book{{}, {}}
+		var sent []Book // copies under way
+		type word struct {
+			out bool
+			at  time.Duration
+		}
+		last := map[string]word{}
+		now := time.Hour
+		node := map[string]harepass.Replica{}
+		t.Repeat(map[string]func(*rapid.T){
+			"call": func(t *rapid.T) {
+				now += time.Second
+				id, out, who := ids.Draw(t, "id"), rapid.Bool().Draw(t, "out"), rapid.IntRange(0, 1).Draw(t, "process")
+				books[who].Merge(books[1-who]) // as the register does before each call
+				was := books[who][id].Out
+				if changed := books[who].Call(id, Entry{Out: out, At: now}); changed != (was != out) {
+					t.Fatalf("%s out=%t after out=%t: changed=%t", id, out, was, changed)
+				} else if changed {
+					last[id] = word{out, now}
+				}
+			},
+			"send": func(t *rapid.T) {
+				sent = append(sent, maps.Clone(books[rapid.IntRange(0, 1).Draw(t, "process")]))
+			},
+			"arrive": func(t *rapid.T) {
+				if len(sent) > 0 {
+					books[rapid.IntRange(0, 1).Draw(t, "process")].Merge(sent[rapid.IntRange(0, len(sent)-1).Draw(t, "copy")])
+				}
+			},
+			"list": func(t *rapid.T) {
+				id := ids.Draw(t, "id")
+				node[id] = harepass.Replica{ID: id, State: harepass.ReplicaState(rapid.IntRange(0, 2).Draw(t, "state")),
+					Since: time.Duration(rapid.IntRange(0, 5000).Draw(t, "since")) * time.Second}
+			},
+			"": func(t *rapid.T) {
+				all := maps.Clone(books[0])
+				all.Merge(books[1])
+				other := maps.Clone(books[1])
+				other.Merge(books[0])
+				if !maps.Equal(all, other) {
+					t.Fatalf("the order of merging counts: %v and %v", all, other)
+				}
+				if all.Merge(other) {
+					t.Fatal("merged twice, a book changes")
+				}
+				for id, w := range last {
+					if all[id].Out != w.out {
+						t.Fatalf("%s: out=%t, the last call that changed anything said %t", id, all[id].Out, w.out)
+					}
+					r := all.Told(node[id])
+					switch {
+					case r.ID != "" && w.out && r.State == harepass.Ready:
+						t.Fatalf("%s is out and told as ready", id)
+					case r.ID != "" && w.out && r.Since != node[id].Since, r.ID != "" && !w.out && r.State != node[id].State:
+						t.Fatalf("%s: listed %v, told %v", id, node[id], r)
+					case r.ID != "" && !w.out && r.Since < w.at:
+						t.Fatalf("%s came back at %v and is told to run since %v", id, w.at, r.Since)
+					}
+				}
+			},
+		})
+	})
+}
+
+// A call of a process whose clock lags behind counts all the same, for it came later.
+func TestLaggingClock(t *testing.T) {
+	b := Book{}
+	b.Call("a", Entry{Out: true, At: 10 * time.Second})
+	b.Call("a", Entry{Out: false, At: 9 * time.Second})
+	o := Book{"a": {Out: true, At: 10 * time.Second}}
+	if o.Merge(b); o["a"].Out || len(o.Out()) != 0 {
+		t.Errorf("still out: %v", o)
+	}
+}
+
+func TestTwoCallsOutOneBack(t *testing.T) {
+	b := Book{}
+	for i, tc := range []struct{ out, changes bool }{{false, false}, {true, true}, {true, false}, {false, true}, {false, false}} {
+		if changed := b.Call("a", Entry{Out: tc.out, At: time.Duration(i+1) * time.Second}); changed != tc.changes {
+			t.Errorf("call %d: changed=%t", i, changed)
+		}
+	}
+	if b.Forget(time.Minute); len(b) != 0 {
+		t.Errorf("not forgotten: %v", b)
+	}
+	b.Call("a", Entry{Out: true, At: time.Second})
+	if b.Forget(time.Hour); len(b.Out()) != 1 {
+		t.Error("forgot one that is out")
+	}
+}
+
+func TestBare(t *testing.T) {
+	list := []harepass.Replica{{ID: "a", Cell: 0}, {ID: "b", Cell: 1}, {ID: "c", Cell: 2, State: harepass.Gone}}
+	b := Book{}
+	for _, tc := range []struct {
+		out  string
+		want []int
+	}{{"", nil}, {"a", []int{2}}, {"b", []int{0, 1, 2}}} { // section s is held by cells s and s+1 of three
+		if tc.out != "" {
+			b.Call(tc.out, Entry{Out: true, At: time.Second})
+		}
+		if got := b.Bare(list, 3, 2, 3); !slices.Equal(got, tc.want) {
+			t.Errorf("%s out as well: %v", tc.out, got)
+		}
+	}
+}
--- a/internal/decide/overload/overload.go
+++ b/internal/decide/overload/overload.go
@@ -132,16 +132,30 @@
 
 // New returns a Controller that limits nothing yet.
 func New(cfg Config) *Controller {
-	c := &Controller{cfg: cfg, classes: map[string]*class{}, tenants: map[string]*tenant{}, cost: newCost()}
-	for _, k := range cfg.Classes {
+	c := &Controller{cfg: cfg, cost: newCost()}
+	c.Reclass(cfg.Classes, cfg.Tenants)
+	return c
+}
+
+// Reclass takes other classes and tenants over. Of those that it knows, what was learned is kept.
+func (c *Controller) Reclass(classes []Class, tenants []Tenant) {
+	knownClasses, knownTenants := c.classes, c.tenants
+	c.classes, c.tenants = map[string]*class{}, map[string]*tenant{}
+	for _, k := range classes {
 		c.classes[k.Name] = &class{Class: k, parts: max(1, k.Parts)}
+		if o := knownClasses[k.Name]; o != nil {
+			c.classes[k.Name].parts = o.parts
+		}
 	}
-	for _, t := range cfg.Tenants {
+	for _, t := range tenants {
 		room := max(burstSeconds*t.Share, burstLeast)
-		c.tenants[t.Name] = &tenant{share: t.Share, room: room, tokens: room}
+		n := &tenant{share: t.Share, room: room, tokens: room}
+		if o := knownTenants[t.Name]; o != nil {
+			n.tokens, n.at = min(room, o.tokens), o.at
+		}
+		c.tenants[t.Name] = n
 	}
 	c.rank()
-	return c
 }
 
 // rank scores the classes by their worth for what they cost this coordinator. Those kept come first.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -53,6 +53,14 @@
 	return &Guard{Clock: clock, Probe: Self, Log: slog.Default(), control: overload.New(cfg), early: make(chan struct{}, 1)}
 }
 
+// Reclass takes the classes and tenants of other settings over.
+func (g *Guard) Reclass(s harepass.Settings) {
+	c := Config(s)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.control.Reclass(c.Classes, c.Tenants)
+}
+
 // A query is handed from goroutine to goroutine so often at least, from its first byte to its answer's last: each time
 // it waits for a core.
 const handOvers = 4
--- /dev/null
+++ b/internal/operator/register.go
@@ -0,0 +1,183 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"sync"
+	"time"
+
+	"harepass/internal/decide/outage"
+)
+
+const (
+	lookEvery = 100 * time.Millisecond // at what other processes have written: a call at one binds all within a second
+	visitTime = 300 * time.Millisecond // for files to be read or written; a caller waits twice for that at most
+	keepBack  = 10 * time.Minute       // what was called back so long ago is warm and no longer kept
+)
+
+// Owner is what the register tells; none of it blocks.
+type Owner interface {
+	Outages(outage.Book)
+	Knows(id string) bool
+	Serving() error // why it does not
+}
+
+// Register keeps what operators have said, and shares it with the coordinator's other processes. It is the Door's Desk.
+type Register struct {
+	Name  string
+	Owner Owner
+	Clock func() time.Duration
+	Files *Files // nil keeps nothing beyond this process
+
+	visits chan chan struct{}
+	mu     sync.Mutex
+	mine   Snapshot
+	dirty  bool // not written yet
+}
+
+// NewRegister reads what other processes have left; Found tells what that was. Run has to be started for the rest.
+func NewRegister(name string, files *Files, clock func() time.Duration) *Register {
+	r := &Register{Name: name, Files: files, Clock: clock, visits: make(chan chan struct{}),
+		mine: Snapshot{Name: name, Book: outage.Book{}}}
+	if files != nil {
+		files.Prune()
+		r.take(files.Others())
+		r.dirty = true
+	}
+	return r
+}
+
+// Found is the latest list that another process left and where it came from; nil where there is none.
+func (r *Register) Found() (list json.RawMessage, discovery string) {
+	return r.mine.List, r.mine.Discovery
+}
+
+// take merges what others have written; under the lock, or before Run. It tells whether the book has changed.
+func (r *Register) take(list []Snapshot) (changed bool) {
+	for _, s := range list {
+		if s.Name != r.Name {
+			slog.Warn("state not used", "coordinator", s.Name, "err", "it is another coordinator's")
+			continue
+		}
+		changed = r.mine.Book.Merge(s.Book) || changed
+		if len(s.List) > 0 && s.At > r.mine.At {
+			r.mine.At, r.mine.List, r.mine.Discovery = s.At, s.List, s.Discovery
+		}
+	}
+	return changed
+}
+
+// Listed keeps the list for processes to come.
+func (r *Register) Listed(discovery string, list json.RawMessage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mine.At, r.mine.List, r.mine.Discovery, r.dirty = r.Clock(), list, discovery, true
+}
+
+// Run reads and writes files until ctx ends. Nothing else does, so a disk that hangs holds up no caller for long, and
+// the owner never.
+func (r *Register) Run(ctx context.Context) {
+	r.publish()
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		var done chan struct{}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case done = <-r.visits:
+		}
+		r.round()
+		if done != nil {
+			close(done)
+		}
+	}
+}
+
+func (r *Register) round() {
+	if r.Files == nil {
+		return
+	}
+	others := r.Files.Others()
+	r.mu.Lock()
+	if r.take(others) {
+		r.dirty = true
+		r.tell()
+	}
+	mine, dirty := r.mine, r.dirty
+	mine.Book, r.dirty = maps.Clone(mine.Book), false
+	r.mu.Unlock()
+	if !dirty {
+		return
+	}
+	if err := r.Files.Write(mine); err != nil {
+		slog.Error("state not written; a new process will not have it", "err", err)
+		r.mu.Lock()
+		r.dirty = true
+		r.mu.Unlock()
+	}
+}
+
+// visit has files read and written now, and waits for that a while.
+func (r *Register) visit() error {
+	done, late := make(chan struct{}), time.After(visitTime)
+	for in := r.visits; ; {
+		select {
+		case in <- done:
+			in = nil
+		case <-done:
+			return nil
+		case <-late:
+			return errors.New("files take too long")
+		}
+	}
+}
+
+func (r *Register) publish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tell()
+}
+
+// tell is called under the lock, so that the owner hears of the book's states in order.
+func (r *Register) tell() { r.Owner.Outages(maps.Clone(r.mine.Book)) }
+
+// Status implements Desk.
+func (r *Register) Status() error { return r.Owner.Serving() }
+
+// Out implements Desk: the node is to be left out.
+func (r *Register) Out(id, by string) error { return r.call(id, true, by) }
+
+// Back implements Desk: the node may serve again.
+func (r *Register) Back(id, by string) error { return r.call(id, false, by) }
+
+// call binds at once. It first hears what other processes were told, for that came before.
+func (r *Register) call(id string, out bool, by string) error {
+	if err := r.visit(); err != nil {
+		slog.Warn("call without a look at other processes", "node", id, "err", err)
+	}
+	r.mu.Lock()
+	_, known := r.mine.Book[id]
+	if !known && !r.Owner.Knows(id) {
+		r.mu.Unlock()
+		return fmt.Errorf("no node %.40q is listed", id)
+	}
+	now := r.Clock()
+	r.mine.Book.Forget(now - keepBack)
+	changed := r.mine.Book.Call(id, outage.Entry{Out: out, At: now, By: by})
+	if changed {
+		r.dirty = true
+		r.tell()
+	}
+	r.mu.Unlock()
+	slog.Info("operator's call", "node", id, "out", out, "by", by, "changed", changed)
+	if err := r.visit(); err != nil { // it binds here, and is written as soon as that can be done
+		slog.Error("call not written yet", "node", id, "err", err)
+	}
+	return nil
+}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/textproto"
+	"slices"
 	"time"
 
 	"harepass"
@@ -61,10 +63,12 @@
 type Discovery struct {
 	Dial   http1.Dialer // nil for plain TCP
 	Listed func(harepass.ListScope, []core.Node)
-	Pace   *pace.Pace // nil for a coordinator that is alone
+	Pace   *pace.Pace                       // nil for a coordinator that is alone
+	Kept   func(address string, whole List) // told of the whole list when it has changed; nil for nobody
 
-	address string // of Run alone, as index is
-	index   int64  // version of the list that the owner has; unknown below 0
+	address string              // of Run alone, as index is
+	index   int64               // version of the list that the owner has; unknown below 0
+	whole   map[string]Endpoint // the list by name, for Kept
 	asked   chan struct{}
 	moved   chan string // the latest new address that Run has not seen
 }
@@ -74,13 +78,35 @@
 // NewDiscovery returns a Discovery for the service at an address; Listed has to be set before Run. The owner is to
 // have been given the known list, if there is one.
 func NewDiscovery(address string, known List) *Discovery {
-	d := &Discovery{address: address, index: noIndex, asked: make(chan struct{}, 1), moved: make(chan string, 1)}
+	d := &Discovery{address: address, index: noIndex, asked: make(chan struct{}, 1), moved: make(chan string, 1), whole: map[string]Endpoint{}}
 	if len(known.Endpoints) > 0 {
 		d.index = known.Index
 	}
+	d.merge(known)
 	return d
 }
 
+// merge takes an answer into the whole list.
+func (d *Discovery) merge(l List) {
+	if l.Snapshot {
+		clear(d.whole)
+	}
+	for _, e := range l.Endpoints {
+		if d.whole[e.Name] = e; states[e.Status] == harepass.Gone {
+			delete(d.whole, e.Name)
+		}
+	}
+}
+
+// keep tells Kept.
+func (d *Discovery) keep() {
+	l := List{Index: d.index, Snapshot: true}
+	for _, name := range slices.Sorted(maps.Keys(d.whole)) {
+		l.Endpoints = append(l.Endpoints, d.whole[name])
+	}
+	d.Kept(d.address, l)
+}
+
 // Subscribe asks for the list and its changes. It does nothing while a subscription stands.
 func (d *Discovery) Subscribe() {
 	select {
@@ -193,7 +219,12 @@
 		if list.Snapshot {
 			scope = harepass.ListFull
 		}
+		changed := list.Index != d.index || list.Snapshot
 		d.index = list.Index
+		if d.Kept != nil && changed {
+			d.merge(list)
+			d.keep()
+		}
 		if d.Pace != nil {
 			d.Pace.Served()
 		}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -142,7 +142,21 @@
 	return c
 }
 
-// trusted is how long an idle connection is used again, and kept.
+// Tune takes over what other settings say of connections; those that stand go by it too.
+func (n *Nodes) Tune(streams int, connect, quiet, keepAlive time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.Streams, n.ConnectTimeout, n.Quiet, n.KeepAlive = streams, connect, quiet, keepAlive
+}
+
+// times are the ones that a connection goes by; for goroutines without the lock.
+func (n *Nodes) times() (connect, quiet, trusted time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ConnectTimeout, n.Quiet, n.trusted()
+}
+
+// trusted is how long an idle connection is used again, and kept; under the lock.
 func (n *Nodes) trusted() time.Duration {
 	if n.KeepAlive <= 0 {
 		return keepAlive
@@ -289,7 +303,8 @@
 // run connects, writes what is queued, and ends what is left when the connection breaks.
 func (c *nodeConn) run() {
 	defer c.finish()
-	ctx, cancel := context.WithTimeout(context.Background(), c.nodes.ConnectTimeout)
+	timeout, _, _ := c.nodes.times()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	conn, err := c.nodes.Dial.Connect(ctx, c.address)
 	cancel()
 	if err != nil {
@@ -447,21 +462,22 @@
 				return
 			}
 		}
+		_, quiet, trusted := c.nodes.times()
 		switch {
 		case b.Len() == 0: // a look now and then whether it is of use still
-			conn.SetReadDeadline(time.Now().Add(c.nodes.trusted()))
+			conn.SetReadDeadline(time.Now().Add(trusted))
 		case c.idle(0): // nobody waits for it, and it would spoil the next answer
 			return
 		case !begun:
 			begun = true
-			conn.SetReadDeadline(time.Now().Add(c.nodes.Quiet))
+			conn.SetReadDeadline(time.Now().Add(quiet))
 		}
 		_, err := b.Fill(conn)
 		switch late := errors.Is(err, os.ErrDeadlineExceeded); {
 		case late && b.Len() > 0:
 			c.spoil(b.Bytes(), errors.New("platform: frame does not end"))
 			return
-		case err != nil && (!late || c.idle(c.nodes.trusted())):
+		case err != nil && (!late || c.idle(trusted)):
 			return
 		}
 	}
--- a/internal/wire/json.go
+++ b/internal/wire/json.go
@@ -23,20 +23,30 @@
 // JSONSettings reads the settings where they stand as nested JSON: the same object as the facts of a
 // provision line, with the same names and units.
 func JSONSettings(raw []byte) (harepass.Settings, Limits, error) {
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.UseNumber()
-	var tree any
-	if err := dec.Decode(&tree); err != nil {
+	vals, err := Flatten(raw)
+	if err != nil {
 		return harepass.Settings{}, Limits{}, fmt.Errorf("settings: %w", err)
 	}
-	f := &fields{name: "settings", vals: map[string]string{}}
-	flatten(f.vals, "", tree)
+	f := &fields{name: "settings", vals: vals}
 	s := settings(f)
 	l := Limits{Shards: f.optNum("family_info.shards", 0), Open: f.optNum("caps.open_cap", 0), Streams: f.optNum("caps.streams_per_conn", 1),
 		ConnectTimeout: f.optUS("caps.connect_timeout_us"), KeepAlive: f.optUS("caps.keepalive_us")}
 	return s, l, f.err
 }
 
+// Flatten gives a JSON value as paths with their values.
+func Flatten(raw []byte) (map[string]string, error) {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.UseNumber()
+	var tree any
+	if err := dec.Decode(&tree); err != nil {
+		return nil, err
+	}
+	vals := map[string]string{}
+	flatten(vals, "", tree)
+	return vals, nil
+}
+
 // flatten writes a JSON value as the wire does: paths with dots, plain lists joined with commas, lists of
 // objects with their count.
 func flatten(vals map[string]string, path string, v any) {
--- a/state.go
+++ b/state.go
@@ -55,6 +55,7 @@
 type class struct {
 	Class
 	idx     int
+	most    int               // attempts of a part
 	seen    [seenSize]float64 // latest latencies, seconds; a ring
 	seenN   int
 	overdue time.Duration
