Remembered list does in either order, returns dated by the listed restart; lab logs

At fault: the owner's first turn could come before the known list was posted (serve.go began Run first, and the door's start between the two made that usual); Subscribe then found no node (core.go, case Subscribe) and nothing was presumed.

Change: lists are posted before the owner runs, and the owner presumes whichever of the two comes first. The test of it fails with the call in the list's apply taken out.

--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -182,19 +182,22 @@
 		return usageError{err}
 	}
 	p.owner, frames.Owner = owner, owner
-	go owner.Run()
+	if p.inventory != nil {
+		owner.Listed(inventory.Source, harepass.ListFull, p.hosts)
+	}
+	if p.config != nil {
+		owner.Listed(platform.Source, harepass.ListRemembered, p.known)
+	}
 	if p.staff != nil {
 		if err := p.openDoor(ctx); err != nil {
 			return err
 		}
 	}
+	go owner.Run() // its first turn has the lists and who is out of them
 	if p.watch != nil {
 		p.watch.Squeeze, p.watch.Turning, p.watch.Descriptors = owner.Squeeze, owner.Turning, p.descriptors
 		go p.watch.Run(ctx)
 	}
-	if p.inventory != nil {
-		owner.Listed(inventory.Source, harepass.ListFull, p.hosts)
-	}
 	if p.search != nil {
 		api.Owner = owner
 		front := &opensearch.Front{Config: p.search, Owner: owner, Clock: p.clock, Version: version}
@@ -204,7 +207,6 @@
 		}
 	}
 	if p.config != nil {
-		owner.Listed(platform.Source, harepass.ListRemembered, p.known)
 		p.disc.Listed = func(scope harepass.ListScope, nodes []core.Node) { owner.Listed(platform.Source, scope, nodes) }
 		go p.disc.Run(ctx)
 		front := &platform.Front{Owner: owner, Clock: p.clock}
--- a/cmd/harepass/upgrade.go
+++ b/cmd/harepass/upgrade.go
@@ -69,6 +69,7 @@
 		}
 		p.staff.Listed(address, data)
 	}
+	p.staff.Publish()
 	go p.staff.Run(ctx)
 	door := &operator.Door{Desk: p.staff}
 	go door.Serve(l)
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -26,7 +26,7 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Emulated map nodes, and experiments on the coordinator",
 		SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(run(), nodes(), mountain(), load(), report(), coordinator())
+	c.AddCommand(run(), nodes(), mountain(), load(), report(), logs(), coordinator())
 	return c
 }
 
@@ -111,6 +111,27 @@
 	return c
 }
 
+func logs() *cobra.Command {
+	var id string
+	var worst int
+	c := &cobra.Command{Use: "logs DIR", Short: "Sums up by second what a fleet's coordinators wrote under 'serve -trace', one *.log each", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if id != "" {
+				return lab.Path(cmd.OutOrStdout(), args[0], id)
+			}
+			f := lab.NewFleet()
+			for _, each := range []func(lab.LogLine){f.Learn, f.Add} {
+				if err := lab.ReadLogs(args[0], each); err != nil {
+					return err
+				}
+			}
+			return f.Print(cmd.OutOrStdout(), worst)
+		}}
+	c.Flags().StringVar(&id, "id", "", "prints one request's path instead: its lines from all coordinators, in order of time")
+	c.Flags().IntVar(&worst, "nodes", 20, "how many nodes to list, those that served the least part of their attempts first")
+	return c
+}
+
 func coordinator() *cobra.Command {
 	return &cobra.Command{Use: lab.ServeCommand, Hidden: true, Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return lab.Serve(cmd.InOrStdin(), cmd.OutOrStdout()) }}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -189,6 +189,7 @@
 	began     atomic.Int64  // when the present turn began; 0 between turns
 	drainEnd  time.Duration // once it drains: by then all has to be answered
 	list      bool          // discovery has answered, be it with a refusal, or the remembered list has to do
+	asked     bool          // for a list, and none is presumed yet
 	ending    bool          // to stop when nothing is open
 	words     words
 
@@ -428,6 +429,7 @@
 		} else {
 			o.nodes[n.ID] = listedNode{n, m.source}
 		}
+		o.traceListed(n)
 		ev.Replicas = append(ev.Replicas, o.book.Told(n.Replica))
 	}
 	for id, n := range before { // what is out there still has its connection, which ends when it has been idle
@@ -442,6 +444,16 @@
 	o.noteList()
 	clear(o.ables)
 	o.list = o.list || m.scope != harepass.ListRemembered && m.source == o.cfg.Asked
+	o.presume()
+}
+
+// presume lets the list that is remembered do after a while, once the source was asked for a newer one; whichever of the
+// two came first.
+func (o *Owner) presume() {
+	if o.asked && !o.list && len(o.nodes) > 0 {
+		o.asked = false
+		o.deadlines.add(o.now+presumeAfter, func() { o.list = true })
+	}
 }
 
 // overdue gives up a query that the module has left without an answer: the client's time is over.
@@ -569,9 +581,8 @@
 			}
 		case harepass.Subscribe:
 			o.cfg.Subscribe()
-			if !o.list && len(o.nodes) > 0 {
-				o.deadlines.add(o.now+presumeAfter, func() { o.list = true })
-			}
+			o.asked = true
+			o.presume()
 		case harepass.WakeIn:
 			o.deadlines.remove(o.wake)
 			o.wake = o.deadlines.add(o.now+a.In, func() { o.events = append(o.events, harepass.Woken{}) })
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -286,6 +286,36 @@
 	}
 }
 
+// A remembered list does after a while, be it there before the first turn or a moment after: the order was a race once,
+// and a coordinator that lost it was not ready for the 10 s of a silent watch.
+func TestRememberedListIsPresumed(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		settings := newRig(t, nil).cfg.Settings
+		settings.Subscribe, settings.ListMaxAge = true, 10*time.Second
+		now := time.Hour
+		o, err := New(Config{Settings: settings, Clock: func() time.Duration { return now }, Subscribe: func() {}, Asked: "test"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		remember := func() {
+			o.Listed("test", harepass.ListRemembered, []Node{{Replica: harepass.Replica{ID: "a"}, Scheme: "hand"}})
+			o.turn()
+		}
+		if before {
+			remember()
+		} else {
+			o.turn()
+			remember()
+		}
+		for _, want := range []Phase{Starting, Ready} {
+			now += presumeAfter - ms
+			if o.turn(); o.Phase() != want {
+				t.Errorf("list before the first turn: %t; %v, want %v", before, o.Phase(), want)
+			}
+		}
+	}
+}
+
 // A list from a source that was not asked is no answer to a subscription: the module still wants one.
 func TestInventoryIsNoSubscription(t *testing.T) {
 	subscribed := 0
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -19,6 +19,8 @@
 
 var outcomeNames = [...]string{"served", "error", "full", "timeout", "noconn", "reset", "cancelled", "moot"}
 
+var stateNames = [...]string{"ready", "draining", "gone"}
+
 var verdictNames = [...]string{"served", "refused", "failed", "invalid"}
 
 // words are the lines that may still be written about queries that ended badly.
@@ -46,6 +48,18 @@
 // tracing tells whether each step of each query is to be written.
 func (o *Owner) tracing() bool { return o.cfg.Log.Enabled(context.Background(), slog.LevelDebug) }
 
+// traceListed writes an entry of the list; age is 0 for a node that started long ago.
+func (o *Owner) traceListed(n Node) {
+	if !o.tracing() {
+		return
+	}
+	age := time.Duration(0)
+	if n.Since > 0 {
+		age = o.now - n.Since
+	}
+	o.cfg.Log.Debug("listed", "node", n.ID, "state", stateNames[n.State], "age", age)
+}
+
 // traceEnd writes an attempt's end.
 func (o *Owner) traceEnd(at *Attempt, outcome harepass.Outcome, took time.Duration) {
 	if o.tracing() {
--- a/internal/decide/outage/outage.go
+++ b/internal/decide/outage/outage.go
@@ -14,7 +14,8 @@
 type Entry struct {
 	Out    bool          `json:"out"`
 	At     time.Duration `json:"at"`
-	By     string        `json:"by,omitempty"` // who called
+	From   time.Duration `json:"from,omitempty"` // of a call back: since when the node had been out
+	By     string        `json:"by,omitempty"`   // who called
 	Reason string        `json:"reason,omitempty"`
 }
 
@@ -43,6 +44,9 @@
 	}
 	if known {
 		e.At = max(e.At, last.At+1)
+		if e.From = 0; !e.Out {
+			e.From = last.At
+		}
 	}
 	b[id] = e
 	return true
@@ -72,14 +76,14 @@
 }
 
 // Told is an entry of the list as the module is to hear it. A node that is out drains. One that was called back has
-// been restarted in between: it started at the call back, or later where the list says so.
+// been restarted in between: when the list says so, or at the call back where it does not know of that yet.
 func (b Book) Told(r harepass.Replica) harepass.Replica {
 	switch e, known := b[r.ID]; {
 	case !known:
 	case e.Out && r.State == harepass.Ready:
 		r.State = harepass.Draining
-	case !e.Out:
-		r.Since = max(r.Since, e.At)
+	case !e.Out && r.Since <= e.From:
+		r.Since = e.At
 	}
 	return r
 }
--- /dev/null
+++ b/internal/lab/logs_test.go
@@ -0,0 +1,107 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const traced = `[0.01] 2026/12/01 20:50:30 DEBUG settings limits="{Cores:0.3}" settings="{Roots:2 Cold:{Start:0.21 WarmWithin:18s Multiple:2.5}}"
+0.012 2026/12/01 20:50:30 INFO serving listen=127.0.0.1:80
+0.015 2026/12/01 20:50:30 DEBUG listed node=old state=ready age=0s
+3.100 2026/12/01 20:50:33 DEBUG listed node=new state=ready age=600ms
+3.200 2026/12/01 20:50:33 DEBUG list call target="/registry/instances?from=4" took=2.1s err="read tcp: i/o timeout"
+3.300 2026/12/01 20:50:33 DEBUG connection node=new
+3.400 2026/12/01 20:50:33 DEBUG attempt id=a1 shard=3 no=0 node=old outcome=timeout took=380ms
+3.500 2026/12/01 20:50:33 DEBUG attempt id=a1 shard=3 no=1 node=new outcome=served took=20ms
+panic: no line of a log
+3.500 2026/12/01 20:50:33 DEBUG query id=a1 class=route-lookup tenant="" end=served whole=true took=400ms left=600ms attempts=2
+`
+
+// The sums of a fleet are those of its lines: calls, connections, attempts, queries, and parts to a node that the list
+// gives a recent start, whichever coordinator's log says so.
+func TestLogsAreSummed(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{"n0.log": traced,
+		"n1.log": "3.900 2026/12/01 20:50:33 DEBUG attempt id=b7 shard=3 no=0 node=new outcome=full took=2ms\n" +
+			"3.950 2026/12/01 20:50:33 INFO query id=b7 class=route-lookup end=refused whole=false attempts=0\n"} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f := NewFleet()
+	for _, each := range []func(LogLine){f.Learn, f.Add} {
+		if err := ReadLogs(dir, each); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := f.Seconds[3]
+	for _, want := range []struct {
+		kind, column string
+		n            int
+	}{{"list calls", "failed", 1}, {"list calls", "ok", 0}, {"connections", "opened", 1}, {"attempts", "timeout", 1}, {"attempts", "served", 1},
+		{"attempts", "full", 1}, {"attempts", "further", 1}, {"queries route-lookup", "served", 1}, {"queries route-lookup", "refused unsent", 1}} {
+		if n := got[want.kind][want.column]; n != want.n {
+			t.Errorf("%s, %s: %d, want %d", want.kind, want.column, n, want.n)
+		}
+	}
+	if row := f.coldNodes()[fmt.Sprintf("%6d", 3)]; row["nodes"] != 1 || row["parts"] != 2 || row["mean of a warm one"] != 1 {
+		t.Errorf("cold nodes: %v", row)
+	}
+	var out strings.Builder
+	if err := f.Print(&out, 1); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"2 coordinators", "the 1 of 2", "old"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %q in\n%s", want, &out)
+		}
+	}
+}
+
+// One request's path is its lines alone, in order, with the coordinator of each.
+func TestPathOfOneRequest(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "n0.log"), []byte(traced), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := Path(&out, dir, "a1"); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 3 || !strings.Contains(lines[0], "3.400 n0 attempt") || !strings.Contains(lines[0], "outcome=timeout") || !strings.Contains(lines[2], "end=served") {
+		t.Errorf("path %q", lines)
+	}
+	if err := Path(&out, dir, "nobody"); err == nil {
+		t.Error("a request that is in no log has a path")
+	}
+}
+
+// Lines without the seconds in front count by their clock; quoted values keep their blanks.
+func TestParseLogLine(t *testing.T) {
+	l, ok := ParseLogLine("n0", `2026/12/01 20:50:33 DEBUG list call target="/a b" took=2s err=<nil>`)
+	if want := 20*time.Hour + 50*time.Minute + 33*time.Second; !ok || l.At != want || l.Name != "list call" || l.Attrs["target"] != "/a b" || l.Attrs["err"] != "<nil>" {
+		t.Errorf("%+v, %t", l, ok)
+	}
+	for _, line := range []string{"", "panic: no line", "1.5", `1.5 2026/12/01 20:50:33 DEBUG list call target="/a`} {
+		if l, ok := ParseLogLine("n0", line); ok {
+			t.Errorf("%q is read as %+v", line, l)
+		}
+	}
+}
+
+// Logs without a trace are told so rather than summed to nothing, and so is an empty folder.
+func TestLogsWithoutATrace(t *testing.T) {
+	dir := t.TempDir()
+	if err := ReadLogs(dir, func(LogLine) {}); err == nil {
+		t.Error("an empty folder is read")
+	}
+	if err := NewFleet().Print(&strings.Builder{}, 5); !errors.Is(err, ErrNoTrace) {
+		t.Errorf("no attempts: %v", err)
+	}
+}
--- a/internal/operator/register.go
+++ b/internal/operator/register.go
@@ -81,7 +81,6 @@
 // Run reads and writes files until ctx ends. Nothing else does, so a disk that hangs holds up no caller for long, and
 // the owner never.
 func (r *Register) Run(ctx context.Context) {
-	r.publish()
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	for {
@@ -138,7 +137,8 @@
 	}
 }
 
-func (r *Register) publish() {
+// Publish tells the owner of what other processes have left, before it runs.
+func (r *Register) Publish() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tell()
--- a/internal/operator/register_test.go
+++ b/internal/operator/register_test.go
@@ -60,6 +60,7 @@
 	r := NewRegister(name, files, func() time.Duration { return time.Duration(time.Now().UnixNano()) })
 	p := process{Register: r, owner: &owner{}}
 	r.Owner = p.owner
+	r.Publish()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { r.Run(ctx); close(done) }()
