What was learned of map nodes goes over to the new version

Lines at fault: coldRoom gives nothing while a.refills tells of a young root, and counts what warm nodes do from nothing (aggregator.go). Ruled out: turned back clients (0 requests), the list (taken over; all nodes listed at 13.06 s), late calls (24, none late).

Change: Recall and Remember copy what the module knows, without a decision (memory.go); the owner tells it each second while it serves, the register's file carries it, a process takes over what is under 5 s old. A replica started since is new; a cold one's tokens begin at nothing.

--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -176,6 +176,9 @@
 		p.disc = platform.NewDiscovery(p.config.Discovery, known)
 		p.disc.Pace = &pace.Pace{Fleet: p.settings.Roots, Told: p.settings.ListMaxAge, Rand: rand.New(rand.NewPCG(p.seed, 0x70616365))}
 		cfg.Subscribe, cfg.Asked = p.disc.Subscribe, platform.Source
+		if p.staff != nil {
+			cfg.Recalled = p.staff.Recalled
+		}
 	}
 	owner, err := core.New(cfg)
 	if err != nil {
@@ -189,6 +192,9 @@
 		owner.Listed(platform.Source, harepass.ListRemembered, p.known)
 	}
 	if p.staff != nil {
+		if m, ok := p.staff.Learned(); ok {
+			owner.Remember(m)
+		}
 		if err := p.openDoor(ctx); err != nil {
 			return err
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -142,6 +142,8 @@
 	Firsts  []string        // classes whose queries may have a first phase
 	Schemes map[string]bool // whose callers know of it
 
+	Recalled func(harepass.Memory) // told now and then of what the module has learned; must not block. nil for nobody
+
 	Log      *slog.Logger // of queries, see trace.go; nil for the default
 	Gate     Gate         // nil admits all
 	Retained int          // bytes that the Planner may retain while memory does not run short
@@ -247,6 +249,9 @@
 		ready: make(chan struct{}), queries: map[string]*query{}, byQuery: map[*Query]*query{},
 		ids: map[string]struct{}{}, parts: map[string]*part{}, firsts: map[string]*first{}, ables: map[int]bool{}, nodes: map[string]listedNode{}, deadlines: newDeadlines()}
 	o.facts.Store(&facts{cfg.Settings, cfg.Limits})
+	if cfg.Recalled != nil {
+		o.deadlines.add(cfg.Clock()+recallEvery, o.recall)
+	}
 	return o, nil
 }
 
--- a/internal/operator/register.go
+++ b/internal/operator/register.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"harepass"
 	"harepass/internal/decide/outage"
 )
 
@@ -17,6 +18,9 @@
 	lookEvery = 100 * time.Millisecond // at what other processes have written: a call at one binds all within a second
 	visitTime = 300 * time.Millisecond // for files to be read or written; a caller waits twice for that at most
 	keepBack  = 10 * time.Minute       // what was called back so long ago is warm and no longer kept
+
+	// What was learned of nodes holds for about as long as a rate is remembered, a few refills of a second.
+	keepLearned = 5 * time.Second
 )
 
 // Owner is what the register tells; none of it blocks.
@@ -64,6 +68,9 @@
 			continue
 		}
 		changed = r.mine.Book.Merge(s.Book) || changed
+		if l := s.Learned; l != nil && (r.mine.Learned == nil || l.At > r.mine.Learned.At) {
+			r.mine.Learned = l
+		}
 		if len(s.List) > 0 && s.At > r.mine.At {
 			r.mine.At, r.mine.List, r.mine.Discovery = s.At, s.List, s.Discovery
 		}
@@ -78,6 +85,21 @@
 	r.mine.At, r.mine.List, r.mine.Discovery, r.dirty = r.Clock(), list, discovery, true
 }
 
+// Recalled keeps what was learned of nodes for processes to come.
+func (r *Register) Recalled(m harepass.Memory) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mine.Learned, r.dirty = &m, true
+}
+
+// Learned is what another process had learned last, unless that is too old to hold still.
+func (r *Register) Learned() (m harepass.Memory, ok bool) {
+	if l := r.mine.Learned; l != nil && r.Clock()-l.At < keepLearned {
+		return *l, true
+	}
+	return m, false
+}
+
 // Run reads and writes files until ctx ends. Nothing else does, so a disk that hangs holds up no caller for long, and
 // the owner never.
 func (r *Register) Run(ctx context.Context) {
--- a/internal/operator/register_test.go
+++ b/internal/operator/register_test.go
@@ -16,6 +16,7 @@
 	"testing/synctest"
 	"time"
 
+	"harepass"
 	"harepass/internal/decide/outage"
 )
 
@@ -85,12 +86,16 @@
 		call(old.Out, "a", true)
 		call(old.Out, "nobody", false)
 		old.Listed("d:1", json.RawMessage(`{"index":7}`))
+		old.Recalled(harepass.Memory{At: old.Clock(), Warm: 3})
 		time.Sleep(2 * lookEvery)
 
 		fresh := begin(t, dir, "n1")
 		if list, from := fresh.Found(); string(list) != `{"index":7}` || from != "d:1" {
 			t.Errorf("found %s from %s", list, from)
 		}
+		if m, ok := fresh.Learned(); !ok || m.Warm != 3 {
+			t.Errorf("learned %+v, %t", m, ok)
+		}
 		synctest.Wait()
 		if got := fresh.owner.out(); got != "a" {
 			t.Errorf("the new process begins with %q out", got)
@@ -109,7 +114,11 @@
 		old.end()
 		call(fresh.Out, "a", true)
 		fresh.end()
+		time.Sleep(keepLearned)
 		stranger, third := begin(t, dir, "n2"), begin(t, dir, "n1")
+		if _, ok := third.Learned(); ok {
+			t.Error("what was learned long ago passes for new")
+		}
 		synctest.Wait()
 		if got := stranger.owner.out() + "|" + third.owner.out(); got != "|a" {
 			t.Errorf("another coordinator and a third process: %q", got)
@@ -140,7 +149,8 @@
 
 // Each cut, each other byte and each other version of a snapshot is refused.
 func TestTornSnapshots(t *testing.T) {
-	s := Snapshot{Name: "n1", At: time.Second, Book: outage.Book{"a": {Out: true, At: time.Hour, By: "x"}}, Discovery: "d", List: json.RawMessage(`{"index":1}`)}
+	s := Snapshot{Name: "n1", At: time.Second, Book: outage.Book{"a": {Out: true, At: time.Hour, By: "x"}}, Discovery: "d", List: json.RawMessage(`{"index":1}`),
+		Learned: &harepass.Memory{At: 1, Replicas: []harepass.ReplicaMemory{{ID: "a", Ratio: 2}}}}
 	good, err := Encode(s)
 	if err != nil {
 		t.Fatal(err)
@@ -158,8 +168,8 @@
 			t.Errorf("with byte %d altered it passes as %v", n, got)
 		}
 	}
-	for _, v := range []string{"0", "2", "999"} {
-		if _, err := Decode(bytes.Replace(good, []byte(magic+" 1"), []byte(magic+" "+v), 1)); !errors.Is(err, ErrFormat) {
+	for _, v := range []string{"0", "1", "999"} {
+		if _, err := Decode(bytes.Replace(good, []byte(magic+" 2"), []byte(magic+" "+v), 1)); !errors.Is(err, ErrFormat) {
 			t.Errorf("version %s: %v", v, err)
 		}
 	}
@@ -169,8 +179,8 @@
 func FuzzSnapshot(f *testing.F) {
 	good, _ := Encode(Snapshot{Name: "n1", Book: outage.Book{"a": {Out: true, At: 1}}, List: json.RawMessage(`{}`)})
 	f.Add(good)
-	f.Add([]byte("harepass-state 1 0 00000000\n"))
-	f.Add([]byte("harepass-state 2 0 00000000\n{}"))
+	f.Add([]byte("harepass-state 2 0 00000000\n"))
+	f.Add([]byte("harepass-state 1 0 00000000\n{}"))
 	f.Add([]byte("harepass-state -1 -1 -1\n"))
 	for _, body := range []string{`{"name":"n1","book":null}`, `{"at":-1}`, `{"book":{"a":{"at":1e99}}}`, `{}{}`} {
 		f.Add(fmt.Appendf(nil, "%s %d %d %08x\n%s", magic, format, len(body), crc32.ChecksumIEEE([]byte(body)), body))
--- a/internal/operator/snapshot.go
+++ b/internal/operator/snapshot.go
@@ -8,21 +8,23 @@
 	"hash/crc32"
 	"time"
 
+	"harepass"
 	"harepass/internal/decide/outage"
 )
 
 // Snapshot is what one process of a coordinator leaves to the others. Times are since the Unix epoch.
 type Snapshot struct {
-	Name      string          `json:"name"` // of the coordinator
-	At        time.Duration   `json:"at"`   // when the list was had last
-	Book      outage.Book     `json:"book"`
-	Discovery string          `json:"discovery,omitempty"` // the address that the list came from
-	List      json.RawMessage `json:"list,omitempty"`      // in discovery's form
+	Name      string           `json:"name"` // of the coordinator
+	At        time.Duration    `json:"at"`   // when the list was had last
+	Book      outage.Book      `json:"book"`
+	Discovery string           `json:"discovery,omitempty"` // the address that the list came from
+	List      json.RawMessage  `json:"list,omitempty"`      // in discovery's form
+	Learned   *harepass.Memory `json:"learned,omitempty"`   // of nodes; its time is its own
 }
 
 const (
 	magic       = "harepass-state"
-	format      = 1       // of the snapshot; others are refused, for half of a meaning is worse than none
+	format      = 2       // of the snapshot; others are refused, for half of a meaning is worse than none
 	longestHead = 64      // bytes
 	LongestFile = 1 << 20 // bytes of a snapshot; files count as memory
 )
