--- a/cmd/harepass/main_test.go
+++ b/cmd/harepass/main_test.go
@@ -343,6 +343,10 @@
 }
 
 func ask(t *testing.T, address string, shards ...int) int {
+	return askClass(t, address, "route-lookup", shards...)
+}
+
+func askClass(t *testing.T, address, class string, shards ...int) int {
 	var parts []string
 	for _, s := range shards {
 		parts = append(parts, fmt.Sprintf(`{"slice":%d,"mass":%g}`, s, 1/float64(len(shards))))
@@ -352,7 +356,7 @@
 		t.Error(err)
 		return 0
 	}
-	req.Header = http.Header{"X-Call-Id": {fmt.Sprint(time.Now().UnixNano())}, "X-Call-Class": {"route-lookup"},
+	req.Header = http.Header{"X-Call-Id": {fmt.Sprint(time.Now().UnixNano())}, "X-Call-Class": {class},
 		"X-Caller": {"kitakaze"}, "X-Budget": {"2900m"}}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/cmd/harepass/reload.go
+++ b/cmd/harepass/reload.go
@@ -10,6 +10,7 @@
 	"reflect"
 	"strings"
 
+	"harepass/internal/core"
 	"harepass/internal/decide/retune"
 	"harepass/internal/wire"
 )
@@ -30,15 +31,10 @@
 	if err != nil {
 		return err
 	}
-	changes, err := p.config.compare(next.config)
+	changes, err := p.replacedBy(next)
 	if err != nil {
 		return err
 	}
-	if p.search != nil {
-		if err := p.search.Check(next.settings, next.caps.Shards); err != nil {
-			return fmt.Errorf("%s: %w", p.searchPath, err)
-		}
-	}
 	old := *p.setup
 	p.settings, p.caps = next.settings, next.caps
 	if err := p.owner.Configure(p.settings, p.coreLimits()); err != nil {
@@ -67,6 +63,22 @@
 	return nil
 }
 
+// replacedBy lists what would change with another configuration, or says why that is none.
+func (s *setup) replacedBy(next *setup) (changes []string, err error) {
+	if changes, err = s.config.compare(next.config); err != nil {
+		return nil, err
+	}
+	if _, err = core.New(core.Config{Settings: next.settings}); err != nil {
+		return nil, err
+	}
+	if s.search != nil {
+		if err := s.search.Check(next.settings, next.caps.Shards); err != nil {
+			return nil, fmt.Errorf("%s: %w", s.searchPath, err)
+		}
+	}
+	return changes, nil
+}
+
 // compare lists what the settings of a configuration that is to replace this one change, or says what it lacks.
 func (c *config) compare(next *config) (changes []string, err error) {
 	var was, is map[string]json.RawMessage
@@ -108,9 +120,9 @@
 	if err != nil {
 		return nil, err
 	}
-	old := &setup{}
+	old := &setup{search: s.search, searchPath: s.searchPath}
 	if err := old.readPlatform(data, os.Getenv); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return old.config.compare(s.config)
+	return old.replacedBy(s)
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -47,6 +48,9 @@
 		if !ok {
 			f.bad(p+"repeat", "is unknown")
 		}
+		if slices.ContainsFunc(s.Classes, func(c harepass.Class) bool { return c.Name == f.vals[p+"name"] }) {
+			f.bad(p+"name", "stands twice")
+		}
 		s.Classes = append(s.Classes, harepass.Class{
 			Name: f.str(p + "name"), Aim: f.us(p + "objective_us"), Deadline: f.us(p + "hard_limit_us"),
 			Worth: f.optFloat(p+"importance", 1), LateWorth: f.optFloat(p+"late_worth", 0),
