Two processes share the limit of open queries; a stopped old process in the upgrade test

Need: for limits the two processes of an upgrade count as one coordinator. Connections and memory are halved; open queries were not. Each register hears by the other one's file, written each second while it serves, whether another process serves beside it, and the owner opens half as much meanwhile. Virtual time shows when either is told; a node's record shows half the queries.

TestKilledInUpgrades now also stops the old process (SIGSTOP) while a node is taken out at the new one, lets it run on and looks that it sends nothing there; clients look for a second answer on their connections.

--- a/cmd/harepass/upgrade_test.go
+++ b/cmd/harepass/upgrade_test.go
@@ -256,6 +256,9 @@
 			if err == nil {
 				_, err = io.Copy(io.Discard, res.Body)
 				res.Body.Close()
+				if in.Buffered() > 0 {
+					c.count("answered twice")
+				}
 				if res.Close || err != nil {
 					conn.Close()
 					conn = nil
@@ -393,11 +396,18 @@
 	}
 	h.ban(now, 1, true)
 	next := h.ready(h.begin())
+	now.Process.Signal(syscall.SIGSTOP) // the old one stands still, and with it the clients that it holds
+	h.ban(next, 2, true)
+	time.Sleep(300 * time.Millisecond)
+	now.Process.Signal(syscall.SIGCONT)
+	eventually(t, "the old one hears of the call that it slept through", func() bool { return strings.Contains(now.call("status"), "200") })
+	time.Sleep(300 * time.Millisecond)
 	now.Process.Kill()
 	<-now.over
 	time.Sleep(ruleSlack + 300*time.Millisecond)
 	h.ban(next, 0, false)
 	h.ban(next, 1, false)
+	h.ban(next, 2, false)
 	time.Sleep(300 * time.Millisecond)
 	c.end()
 	h.end(next)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -202,6 +202,7 @@
 	book    outage.Book                 // the same
 	bare    []int                       // sections that were logged last as lost by it
 	known   atomic.Pointer[map[string]struct{}]
+	shared  atomic.Bool // with another process
 }
 
 type listedNode struct {
@@ -374,7 +375,7 @@
 		m.q.Done(Answer{Verdict: Invalid, Reason: "the id is taken"})
 		return
 	}
-	if o.set().limits.Open > 0 && o.held+size > o.set().limits.Open {
+	if most := o.most(); most > 0 && o.held+size > most {
 		m.q.Done(Answer{Verdict: Refused, RetryIn: o.set().RetryAdvice})
 		return
 	}
--- a/internal/core/first.go
+++ b/internal/core/first.go
@@ -55,7 +55,7 @@
 	for _, p := range q.parts {
 		ask.Sections = append(ask.Sections, p.shard)
 	}
-	if o.set().limits.Open > 0 && o.held+1+len(q.parts) > o.set().limits.Open {
+	if most := o.most(); most > 0 && o.held+1+len(q.parts) > most {
 		ask.Able = func(int) bool { return false } // no room for a first phase
 	}
 	plan := o.cfg.Planner.Plan(ask)
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -75,8 +75,8 @@
 	t := o.waited
 	o.waited = Turn{}
 	t.Took, t.Held = o.cfg.Clock()-o.now, o.bytes
-	if o.set().limits.Open > 0 {
-		t.Open = float64(o.held) / float64(o.set().limits.Open)
+	if most := o.most(); most > 0 {
+		t.Open = float64(o.held) / float64(most)
 	}
 	o.cfg.Gate.Turn(t)
 }
--- a/internal/core/settings.go
+++ b/internal/core/settings.go
@@ -69,3 +69,15 @@
 	}
 	m.done <- err
 }
+
+// Shared tells whether another process of the same coordinator serves beside this one: what may be open is for both.
+func (o *Owner) Shared(yes bool) { o.shared.Store(yes) }
+
+// most is how many queries and parts may be open; 0 for no limit.
+func (o *Owner) most() int {
+	most := o.set().limits.Open
+	if most > 0 && o.shared.Load() {
+		return max(1, most/2)
+	}
+	return most
+}
--- a/internal/core/settings_test.go
+++ b/internal/core/settings_test.go
@@ -81,3 +81,21 @@
 		t.Error("not served by the old settings")
 	}
 }
+
+// While another process serves beside it, an owner opens half as much.
+func TestOpenQueriesShared(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Limits.Open = 8 })
+	for _, tc := range []struct {
+		shared bool
+		opened int // queries of one part, which take two places
+	}{{true, 2}, {false, 4}} {
+		r.Shared(tc.shared)
+		for range 6 {
+			r.Submit(r.query("free", 0))
+		}
+		r.pass(0)
+		if len(r.queries) != tc.opened {
+			t.Errorf("shared %t: %d open, want %d", tc.shared, len(r.queries), tc.opened)
+		}
+	}
+}
--- a/internal/operator/register.go
+++ b/internal/operator/register.go
@@ -21,6 +21,9 @@
 
 	// What was learned of nodes holds for about as long as a rate is remembered, a few refills of a second.
 	keepLearned = 5 * time.Second
+
+	// A process that serves writes what it has learned each second. One that has not for so long serves no more.
+	sharedFor = 2500 * time.Millisecond
 )
 
 // Owner is what the register tells; none of it blocks.
@@ -28,6 +31,7 @@
 	Outages(outage.Book)
 	Knows(id string) bool
 	Serving() error // why it does not
+	Shared(bool)    // whether another process of the coordinator serves beside it, so that limits hold for both
 }
 
 // Register keeps what operators have said, and shares it with the coordinator's other processes. It is the Door's Desk.
@@ -41,6 +45,9 @@
 	mu     sync.Mutex
 	mine   Snapshot
 	dirty  bool // not written yet
+
+	heard  time.Duration // when another process wrote last that serves; of Run alone, as shared is
+	shared bool
 }
 
 // NewRegister reads what other processes have left; Found tells what that was. Run has to be started for the rest.
@@ -125,6 +132,7 @@
 		return
 	}
 	others := r.Files.Others()
+	r.share(others)
 	r.mu.Lock()
 	if r.take(others) {
 		r.dirty = true
@@ -144,6 +152,20 @@
 	}
 }
 
+// share tells the owner when another process begins to serve beside this one, and when it has ended.
+func (r *Register) share(others []Snapshot) {
+	now := r.Clock()
+	for _, s := range others {
+		if s.Name == r.Name && s.Learned != nil && now-s.Learned.At < sharedFor {
+			r.heard = max(r.heard, s.Learned.At)
+		}
+	}
+	if shared := r.heard > 0 && now-r.heard < sharedFor; shared != r.shared {
+		r.shared = shared
+		r.Owner.Shared(shared)
+	}
+}
+
 // visit has files read and written now, and waits for that a while.
 func (r *Register) visit() error {
 	done, late := make(chan struct{}), time.After(visitTime)
--- a/internal/operator/register_test.go
+++ b/internal/operator/register_test.go
@@ -22,8 +22,9 @@
 
 // owner knows the nodes a and b and keeps the book that it was told last.
 type owner struct {
-	mu   sync.Mutex
-	book outage.Book
+	mu     sync.Mutex
+	book   outage.Book
+	shared []bool
 }
 
 func (o *owner) Outages(b outage.Book) {
@@ -33,6 +34,11 @@
 }
 func (o *owner) Knows(id string) bool { return id == "a" || id == "b" }
 func (o *owner) Serving() error       { return errors.New("draining") }
+func (o *owner) Shared(yes bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.shared = append(o.shared, yes)
+}
 
 func (o *owner) out() string {
 	o.mu.Lock()
@@ -128,6 +134,38 @@
 	})
 }
 
+// Both processes know that they share the limits while both serve, and the one that is left knows when it is alone. A
+// file of a process long over says nothing.
+func TestLimitsShared(t *testing.T) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		beat := func(p process) {
+			p.Recalled(harepass.Memory{At: p.Clock()})
+			time.Sleep(time.Second)
+		}
+		gone := begin(t, dir, "n1")
+		beat(gone)
+		gone.end()
+		time.Sleep(sharedFor)
+		old := begin(t, dir, "n1")
+		beat(old)
+		fresh := begin(t, dir, "n1")
+		for range 4 {
+			go beat(old)
+			beat(fresh)
+		}
+		for range 6 {
+			beat(fresh)
+		}
+		for who, p := range map[string]process{"old": old, "new": fresh} {
+			if want := map[string]string{"old": "[true]", "new": "[true false]"}[who]; fmt.Sprint(p.owner.shared) != want {
+				t.Errorf("the %s process was told %v, want %s", who, p.owner.shared, want)
+			}
+			p.end()
+		}
+	})
+}
+
 // Files that are torn, foreign, of another version or too long are left out, and the rest is used.
 func TestSpoiltFiles(t *testing.T) {
 	dir := t.TempDir()
