Sections left with a crowded suspect refuse early instead of queueing there in vain

At fault: cost gives a section without a ready holder exactly refuseFrom of the aim, at which nothing is refused (aggregator.go).

Change: the least ratio of the holders that do not fail at once counts, where it tells more. The test fails without it; silent and failing holders are hoped for as before.

--- a/aggregator.go
+++ b/aggregator.go
@@ -410,8 +410,8 @@
 	c, s := p.q.cls, a.shardOf(p.Shard)
 	if m := a.usualOf(&s.common, s.holders); !math.IsInf(m, 1) {
 		return m * c.base * a.strain
-	}
-	return c.Aim.Seconds() * refuseFrom // nobody is ready: hope, but prefer other parts
+	} // nobody is ready: hope, but prefer other parts, and spare a crowd if that is all there is
+	return max(c.Aim.Seconds()*refuseFrom, s.least()*c.base*a.strain)
 }
 
 // choose marks the parts to ask for: all, or the quickest that make a whole answer; more of them when one
--- a/state.go
+++ b/state.go
@@ -235,6 +235,17 @@
 	return nil
 }
 
+// least is the lowest ratio of the holders that do not fail at once, 0 where there is none: of the silent it tells nothing
+// new, of those that are merely crowded how much.
+func (s *shard) least() (low float64) {
+	for _, r := range s.holders {
+		if !r.failing && (low == 0 || r.ratio < low) {
+			low = r.ratio
+		}
+	}
+	return low
+}
+
 // mean is the expected latency of a class at this shard under its shares.
 func (s *shard) mean(c *class) (sum float64) {
 	for i, r := range s.holders {
--- a/symptoms_test.go
+++ b/symptoms_test.go
@@ -809,3 +809,40 @@
 		t.Errorf("parts to the cold replica with a rare class beside: %d, without: %d", sent[true], sent[false])
 	}
 }
+
+// A section whose only holder is a crowded suspect is refused early, so that what is let through is served in time: work
+// that was sent cannot be taken back, and a queue longer than the aim serves nobody. On the operators' days with two nodes
+// out by hand their neighbour was sent all, timed out on all, and served none in time for seven seconds. Of a holder that
+// is merely silent nothing of the kind is known.
+func TestCrowdedSuspectIsSpared(t *testing.T) {
+	for _, tc := range []struct {
+		what        string
+		ratio       float64
+		failing     bool
+		least, most int // sent of 40
+	}{{"crowded", 12, false, 0, 12}, {"silent", 1, false, 40, 40}, {"failing at once", 12, true, 40, 40}} {
+		a, err := New(1, base())
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := 100 * sec
+		a.Step(now, []Event{ListReceived{Scope: ListFull, Replicas: []Replica{{ID: "r"}}}})
+		sent := 0
+		for i := range 40 {
+			r := a.byID["r"]
+			r.suspect, r.ratio, r.failing, r.trialAt = true, tc.ratio, tc.failing, now+sec
+			now += sec / 10
+			q := fmt.Sprint("q", i)
+			for _, act := range a.Step(now, []Event{QueryArrived{ID: q, Number: int64(i), Class: "c", Parts: 1, ValidUntil: now + 5*sec},
+				PartArrived{ID: q + ".0", Number: int64(i), Weight: 1}}) {
+				if s, ok := act.(Send); ok {
+					sent++
+					a.Step(now, []Event{AttemptEnded{Part: s.Part, Replica: "r", Outcome: Cancelled}, QueryGone{ID: q}})
+				}
+			}
+		}
+		if sent < tc.least || sent > tc.most {
+			t.Errorf("%s: %d of 40 sent, want %d to %d", tc.what, sent, tc.least, tc.most)
+		}
+	}
+}
