--- a/cmd/harepass/upgrade.go
+++ b/cmd/harepass/upgrade.go
@@ -28,11 +28,12 @@
 		return known
 	}
 	var files *operator.Files
+	err := errors.New("TMPDIR is not set")
 	if dir := os.Getenv("TMPDIR"); dir != "" {
-		var err error
-		if files, err = operator.OpenFiles(filepath.Join(dir, stateFolder), time.Now()); err != nil {
-			slog.Error("calls of operators will not outlive this process", "err", err)
-		}
+		files, err = operator.OpenFiles(filepath.Join(dir, stateFolder), time.Now())
+	}
+	if err != nil {
+		slog.Error("calls of operators will not outlive this process", "err", err)
 	}
 	p.staff = operator.NewRegister(p.config.Name, files, p.clock)
 	data, from := p.staff.Found()
@@ -40,7 +41,7 @@
 		return known
 	}
 	var found platform.List
-	err := json.Unmarshal(data, &found)
+	err = json.Unmarshal(data, &found)
 	nodes, bad := found.Nodes()
 	if err = errors.Join(err, bad); err != nil {
 		slog.Warn("the other process's list is not used", "err", err)
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -26,7 +27,7 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Emulated map nodes, and experiments on the coordinator",
 		SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(run(), nodes(), mountain(), load(), report(), logs(), coordinator())
+	c.AddCommand(run(), nodes(), mountain(), load(), report(), logs(), upgrades(), coordinator())
 	return c
 }
 
@@ -132,6 +133,18 @@
 	return c
 }
 
+func upgrades() *cobra.Command {
+	u := lab.Upgrades{}
+	c := &cobra.Command{Use: "upgrades", Short: "Has real processes of the program take over from each other under load, and says what became of the requests", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return u.Play(cmd.OutOrStdout()) }}
+	c.Flags().StringVar(&u.Program, "program", "bin/harepass", "the built program")
+	c.Flags().StringVar(&u.Settings, "settings", "deploy/settings.example.json", "file of the site's settings")
+	c.Flags().IntVar(&u.Count, "count", 5, "how many upgrades")
+	c.Flags().IntVar(&u.Clients, "clients", 12, "how many clients ask all the time")
+	c.Flags().DurationVar(&u.Every, "every", time.Second, "time between them")
+	return c
+}
+
 func coordinator() *cobra.Command {
 	return &cobra.Command{Use: lab.ServeCommand, Hidden: true, Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return lab.Serve(cmd.InOrStdin(), cmd.OutOrStdout()) }}
--- a/internal/operator/register.go
+++ b/internal/operator/register.go
@@ -17,6 +17,7 @@
 const (
 	lookEvery = 100 * time.Millisecond // at what other processes have written: a call at one binds all within a second
 	visitTime = 300 * time.Millisecond // for files to be read or written; a caller waits twice for that at most
+	failWords = 10 * time.Second       // between two log lines on files that cannot be written
 	keepBack  = 10 * time.Minute       // what was called back so long ago is warm and no longer kept
 
 	// What was learned of nodes holds for about as long as a rate is remembered, a few refills of a second.
@@ -48,6 +49,7 @@
 
 	heard  time.Duration // when another process wrote last that serves; of Run alone, as shared is
 	shared bool
+	failed time.Duration // when a failed write was logged last; of Run alone
 }
 
 // NewRegister reads what other processes have left; Found tells what that was. Run has to be started for the rest.
@@ -145,9 +147,12 @@
 		return
 	}
 	if err := r.Files.Write(mine); err != nil {
-		slog.Error("state not written; a new process will not have it", "err", err)
+		if now := r.Clock(); r.failed == 0 || now-r.failed >= failWords {
+			r.failed = now
+			slog.Error("state not written; a new process will not have it", "err", err)
+		}
 		r.mu.Lock()
-		r.dirty = true
+		r.dirty = true // tried again at the next look
 		r.mu.Unlock()
 	}
 }
--- a/internal/operator/register_test.go
+++ b/internal/operator/register_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -185,6 +186,29 @@
 	}
 }
 
+// A folder that is gone costs a line now and then, not one each look; the call binds all the same.
+func TestFilesCannotBeWritten(t *testing.T) {
+	var log bytes.Buffer
+	before := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+	defer slog.SetDefault(before)
+	dir := filepath.Join(t.TempDir(), "state")
+	synctest.Test(t, func(t *testing.T) {
+		p := begin(t, dir, "n1")
+		if err := os.RemoveAll(dir); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Out("a", "test"); err != nil || p.owner.out() != "a" {
+			t.Errorf("%v, out: %q", err, p.owner.out())
+		}
+		time.Sleep(5 * time.Second)
+		p.end()
+	})
+	if n := strings.Count(log.String(), "state not written"); n != 1 {
+		t.Errorf("%d lines", n)
+	}
+}
+
 // Each cut, each other byte and each other version of a snapshot is refused.
 func TestTornSnapshots(t *testing.T) {
 	s := Snapshot{Name: "n1", At: time.Second, Book: outage.Book{"a": {Out: true, At: time.Hour, By: "x"}}, Discovery: "d", List: json.RawMessage(`{"index":1}`),
--- /dev/null
+++ b/internal/rig/host.go
@@ -0,0 +1,285 @@
+package rig
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"harepass/internal/standin"
+)
+
+// Config says what a Host is made of.
+type Config struct {
+	Dir      string   // for the configuration, and $TMPDIR of all processes
+	Command  []string // the program with its arguments
+	Env      []string // beside that of this process
+	Settings []byte
+	Nodes    int           // each listed in a cell of three
+	Work     time.Duration // that a node takes for a part
+	Slack    time.Duration // after the yes to a node's being taken out, until which it may be sent to
+}
+
+const (
+	cells   = 3
+	patient = 30 * time.Second // for what is only a matter of time
+	look    = 10 * time.Millisecond
+)
+
+// Host stands in for the platform, which starts processes of one coordinator: it holds the clients' socket and has nodes and
+// discovery, each behind a Link.
+type Host struct {
+	Config
+	Clients   *net.TCPListener
+	Nodes     []*Node
+	Discovery *Link
+	Told      atomic.Int32 // answers of discovery, each given when its watch ends
+
+	closers []func() error
+	mu      sync.Mutex
+	out     map[int]time.Time // nodes taken out by hand, and when that was confirmed
+	stray   []string          // parts that reached such a node too late
+	all     []*Process
+}
+
+// Node is a stand-in node behind a link.
+type Node struct {
+	standin.Fleet
+	Link *Link
+}
+
+// NewHost opens all that a process needs.
+func NewHost(c Config) (*Host, error) {
+	h := &Host{Config: c, out: map[int]time.Time{}}
+	clients, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	h.Clients = clients.(*net.TCPListener)
+	h.closers = append(h.closers, clients.Close)
+	behind := func(serve func(net.Listener)) (*Link, error) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		h.closers = append(h.closers, l.Close)
+		go serve(l)
+		k, err := NewLink(l.Addr().String())
+		if err == nil {
+			h.closers = append(h.closers, func() error { k.Close(); return nil })
+		}
+		return k, err
+	}
+	for i := range c.Nodes {
+		n := &Node{}
+		n.Script = func(int, int) standin.Reply { return h.script(i) }
+		if n.Link, err = behind(n.Frames); err != nil {
+			return nil, errors.Join(err, h.Close())
+		}
+		h.Nodes = append(h.Nodes, n)
+	}
+	h.Discovery, err = behind(func(l net.Listener) { standin.Discovery(l, h.list) })
+	if err == nil {
+		err = h.Configure(c.Settings)
+	}
+	if err != nil {
+		return nil, errors.Join(err, h.Close())
+	}
+	return h, nil
+}
+
+// Close kills what still runs and closes the rest.
+func (h *Host) Close() (err error) {
+	for _, p := range h.all {
+		p.Process.Kill()
+		<-p.Over
+	}
+	for _, c := range h.closers {
+		err = errors.Join(err, c())
+	}
+	return err
+}
+
+// Path is the configuration's file.
+func (h *Host) Path() string { return filepath.Join(h.Dir, "config.json") }
+
+// Configure writes the configuration. Its known list is empty, so what a process knows at its start another one left.
+func (h *Host) Configure(settings []byte) error {
+	data, err := json.Marshal(map[string]any{"name": "n1", "listen": h.Clients.Addr().String(), "discovery": h.Discovery.Address(), "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"index": 0, "snapshot": true, "endpoints": []any{}},
+		"settings": json.RawMessage(settings)})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(h.Path(), data, 0o600)
+}
+
+// script is what a node does with a part; it also records what it should not have been sent.
+func (h *Host) script(i int) standin.Reply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at, out := h.out[i]; out && time.Since(at) > h.Slack {
+		h.stray = append(h.stray, fmt.Sprintf("node %d %v after the yes", i, time.Since(at)))
+	}
+	return standin.Reply{After: h.Work}
+}
+
+// list is discovery's: whatever operators say, every node is in service.
+func (h *Host) list() string {
+	h.Told.Add(1)
+	var entries []string
+	for i, n := range h.Nodes {
+		entries = append(entries, fmt.Sprintf(`{"name":"f%d","address":%q,"zone":"z","type":"m","group":%d,"status":"in_service","weight":1,"since_ms":0}`, i, n.Link.Address(), i%cells))
+	}
+	return fmt.Sprintf(`{"index":1,"snapshot":true,"endpoints":[%s]}`, strings.Join(entries, ","))
+}
+
+// Process is a running one.
+type Process struct {
+	*exec.Cmd
+	Door string
+	Over chan error // closed after its end is told
+	log  Log
+}
+
+// Log is what a process writes, read meanwhile.
+type Log struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *Log) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// String is what has been written so far.
+func (l *Log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// Log is what the process has written so far.
+func (p *Process) Log() string { return p.log.String() }
+
+// Start starts a process with a door of its own and the clients' socket as descriptor 4, and with further variables.
+func (h *Host) Start(env ...string) (*Process, error) {
+	socket, err := h.Clients.File()
+	if err != nil {
+		return nil, err
+	}
+	defer socket.Close()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{Cmd: exec.Command(h.Command[0], h.Command[1:]...), Door: free.Addr().String(), Over: make(chan error, 1)}
+	free.Close()
+	p.Env = append(append(os.Environ(), h.Env...), "PROXY_CONFIG="+h.Path(), "PROXY_OPERATOR="+p.Door, "PROXY_FD=4", "TMPDIR="+h.Dir)
+	p.Env = append(p.Env, env...)
+	p.ExtraFiles = []*os.File{os.Stdin, socket}
+	p.Stderr = &p.log
+	if err := p.Cmd.Start(); err != nil {
+		return nil, err
+	}
+	h.all = append(h.all, p)
+	go func() {
+		p.Over <- p.Wait()
+		close(p.Over)
+	}()
+	return p, nil
+}
+
+// Call says a line at the door; the answer is empty where none comes.
+func (p *Process) Call(line string) string {
+	c, err := net.DialTimeout("tcp", p.Door, time.Second)
+	if err != nil {
+		return ""
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintln(c, line)
+	answer, _ := io.ReadAll(c)
+	return string(answer)
+}
+
+// Serves tells whether the process says so.
+func (p *Process) Serves() bool { return strings.HasPrefix(p.Call("status"), "200") }
+
+// Wait waits for something that is only a matter of time.
+func Wait(what string, ok func() bool) error {
+	for end := time.Now().Add(patient); !ok(); time.Sleep(look) {
+		if time.Now().After(end) {
+			return fmt.Errorf("rig: never: %s", what)
+		}
+	}
+	return nil
+}
+
+// Take takes a node out at a process, or calls it back.
+func (h *Host) Take(p *Process, i int, out bool) error {
+	line := "maint-on"
+	if !out {
+		line = "maint-off"
+		h.mu.Lock()
+		delete(h.out, i) // from the call on it may be sent to
+		h.mu.Unlock()
+	}
+	if answer := p.Call(fmt.Sprintf("%s f%d", line, i)); !strings.HasPrefix(answer, "200") {
+		return fmt.Errorf("rig: %s f%d: %q", line, i, answer)
+	}
+	if out {
+		h.mu.Lock()
+		h.out[i] = time.Now()
+		h.mu.Unlock()
+	}
+	return nil
+}
+
+// Sent tells whether a node was asked for some part of a query.
+func (h *Host) Sent(id string) bool {
+	for _, n := range h.Nodes {
+		for _, line := range n.Seen() {
+			if strings.HasPrefix(line, id+".") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Check holds the nodes' own records against the rules: no report runs twice, nothing reaches a node that is out.
+func (h *Host) Check() (err error) {
+	runs := map[string]int{}
+	for _, n := range h.Nodes {
+		for _, line := range n.Seen() {
+			if id, _, _ := strings.Cut(line, " "); strings.HasPrefix(id, reports) {
+				if runs[id]++; runs[id] == 2 {
+					err = errors.Join(err, fmt.Errorf("rig: the hazard report %s ran twice", id))
+				}
+			}
+		}
+	}
+	if len(runs) == 0 {
+		err = errors.Join(err, errors.New("rig: no hazard report was seen"))
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.stray) > 0 {
+		err = errors.Join(err, fmt.Errorf("rig: %d parts at nodes that are out, the first: %s", len(h.stray), h.stray[0]))
+	}
+	return err
+}
