Door's connections are taken from what clients may hold

Need, found in a last reading: the door may hold 16 connections, but the reserves (limits.clients) counted none of them, so a full door and full fronts together could pass the limit of descriptors.

Change: with a door, clients may hold 16 fewer. A name of internal/operator that nobody else uses is no longer exported.

--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -221,7 +221,7 @@
 		}
 	}
 	for i, s := range p.servers {
-		s.Conns = max(1, p.limits.clients()/len(p.servers))
+		s.Conns = max(1, p.clients()/len(p.servers))
 		s.Idle = max(1, p.limits.idle()/len(p.servers))
 		go func() {
 			if p.socket > 0 { // who knocks meanwhile waits, or is another process's
@@ -233,6 +233,14 @@
 	return nil
 }
 
+// clients is how many connections clients may hold; the operators' door has its own beside them.
+func (p *program) clients() int {
+	if p.staff != nil {
+		return p.limits.clients() - operator.Conns
+	}
+	return p.limits.clients()
+}
+
 // descriptors is the share of the connections that clients may hold which are in use.
 func (p *program) descriptors() (share float64) {
 	for _, s := range p.servers {
--- a/internal/operator/files.go
+++ b/internal/operator/files.go
@@ -72,8 +72,8 @@
 }
 
 func (f *Files) read(path string, size int64) (Snapshot, error) {
-	if size > LongestFile {
-		return Snapshot{}, fmt.Errorf("operator: state of %d bytes, at most %d are read", size, LongestFile)
+	if size > longestFile {
+		return Snapshot{}, fmt.Errorf("operator: state of %d bytes, at most %d are read", size, longestFile)
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/operator/register_test.go
+++ b/internal/operator/register_test.go
@@ -175,7 +175,7 @@
 		t.Fatal(err)
 	}
 	if err := errors.Join(os.WriteFile(filepath.Join(dir, "00-1.state"), good[:len(good)-1], 0o600), os.WriteFile(filepath.Join(dir, "01-1.state"), nil, 0o600),
-		os.WriteFile(filepath.Join(dir, "02-1.state"), bytes.Repeat([]byte("x"), LongestFile+1), 0o600),
+		os.WriteFile(filepath.Join(dir, "02-1.state"), bytes.Repeat([]byte("x"), longestFile+1), 0o600),
 		os.Mkdir(filepath.Join(dir, "03-1.state"), 0o700), os.WriteFile(filepath.Join(dir, "04-1.state"), good, 0o600)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/operator/snapshot.go
+++ b/internal/operator/snapshot.go
@@ -26,7 +26,7 @@
 	magic       = "harepass-state"
 	format      = 2       // of the snapshot; others are refused, for half of a meaning is worse than none
 	longestHead = 64      // bytes
-	LongestFile = 1 << 20 // bytes of a snapshot; files count as memory
+	longestFile = 1 << 20 // bytes of a snapshot; files count as memory
 )
 
 // ErrFormat is returned for files of another version of the program.
@@ -39,15 +39,15 @@
 		return nil, err
 	}
 	data := fmt.Appendf(nil, "%s %d %d %08x\n", magic, format, len(body), crc32.ChecksumIEEE(body))
-	if data = append(data, body...); len(data) > LongestFile {
-		return nil, fmt.Errorf("operator: state of %d bytes, at most %d are kept", len(data), LongestFile)
+	if data = append(data, body...); len(data) > longestFile {
+		return nil, fmt.Errorf("operator: state of %d bytes, at most %d are kept", len(data), longestFile)
 	}
 	return data, nil
 }
 
 // Decode reads a snapshot: whole or not at all.
 func Decode(data []byte) (s Snapshot, err error) {
-	head, body, _ := bytes.Cut(data[:min(len(data), LongestFile)], []byte("\n"))
+	head, body, _ := bytes.Cut(data[:min(len(data), longestFile)], []byte("\n"))
 	var name string
 	var version, length int
 	var sum uint32
