Decision packages take the standard names: subsetting, backoff, maintenance, reload

Need: the earlier style's package names (place, pace, outage, retune) say nothing to a newcomer. Result: go vet and the tests of the touched packages pass (decide, platform, core, operator, root), run without the race detector.

--- a/cmd/harepass/limits_test.go
+++ b/cmd/harepass/limits_test.go
@@ -19,7 +19,7 @@
 	"time"
 
 	"harepass"
-	"harepass/internal/decide/pace"
+	"harepass/internal/decide/backoff"
 	"harepass/internal/inventory"
 	"harepass/internal/rig"
 	"harepass/internal/standin"
@@ -264,7 +264,7 @@
 		t.Error("nothing ever went to the node that drains")
 	}
 	changed.Store(true)
-	time.Sleep(pace.Hold + pace.Silence)
+	time.Sleep(backoff.Hold + backoff.Silence)
 	before := len(s.nodes[0].Seen())
 	for range 30 {
 		if status := ask(t, s.native, 0, 1); status != 200 {
@@ -319,7 +319,7 @@
 			}
 		}
 	}
-	load(pace.Binds + 300*time.Millisecond)
+	load(backoff.Binds + 300*time.Millisecond)
 	count := func() int { return len(s.nodes[0].Seen()) + len(s.nodes[1].Seen()) }
 	before := count()
 	if before == 0 {
--- a/cmd/harepass/reload.go
+++ b/cmd/harepass/reload.go
@@ -11,7 +11,7 @@
 	"strings"
 
 	"harepass/internal/core"
-	"harepass/internal/decide/retune"
+	"harepass/internal/decide/reload"
 	"harepass/internal/wire"
 )
 
@@ -98,11 +98,11 @@
 	if err != nil {
 		return nil, err
 	}
-	old, flat = retune.Named(old), retune.Named(flat)
-	if missing := retune.Missing(old, flat); len(missing) > 0 {
+	old, flat = reload.Named(old), reload.Named(flat)
+	if missing := reload.Missing(old, flat); len(missing) > 0 {
 		return nil, fmt.Errorf("the file's settings lack %s; the old ones stay", strings.Join(missing, ", "))
 	}
-	return retune.Differences(old, flat), nil
+	return reload.Differences(old, flat), nil
 }
 
 // sameBut tells whether two configurations differ at most in what is taken over when the file is read again.
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -18,7 +18,7 @@
 
 	"harepass"
 	"harepass/internal/core"
-	"harepass/internal/decide/pace"
+	"harepass/internal/decide/backoff"
 	"harepass/internal/decide/twophase"
 	"harepass/internal/guard"
 	"harepass/internal/http1"
@@ -187,7 +187,7 @@
 	if p.config != nil {
 		known := p.takeOver()
 		p.disc = platform.NewDiscovery(p.config.Discovery, known)
-		p.disc.Pace = &pace.Pace{Fleet: p.settings.Roots, Told: p.settings.ListMaxAge, Pushed: p.pushed, Rand: rand.New(rand.NewPCG(p.seed, 0x70616365))}
+		p.disc.Pace = &backoff.Pace{Fleet: p.settings.Roots, Told: p.settings.ListMaxAge, Pushed: p.pushed, Rand: rand.New(rand.NewPCG(p.seed, 0x70616365))}
 		cfg.Subscribe, cfg.Asked = p.disc.Subscribe, platform.Source
 		if p.staff != nil {
 			cfg.Recalled = p.staff.Recalled
--- a/internal/core/begin_test.go
+++ b/internal/core/begin_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"harepass"
-	"harepass/internal/decide/outage"
+	"harepass/internal/decide/maintenance"
 )
 
 // two is a rig with two nodes that hold all.
@@ -35,8 +35,8 @@
 			r.Listed("test", harepass.ListFull, []Node{{Replica: harepass.Replica{ID: other[at.Node]}, Address: other[at.Node], Scheme: "hand"}})
 		}, true},
 		"out by hand": {func(r *rig, _ *Query, at *Attempt) {
-			b := outage.Book{}
-			b.Call(at.Node, outage.Entry{Out: true, At: r.clock})
+			b := maintenance.Book{}
+			b.Call(at.Node, maintenance.Entry{Out: true, At: r.clock})
 			r.Outages(b)
 		}, true},
 		"its client has left":      {func(r *rig, q *Query, _ *Attempt) { r.Gone(q) }, false},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"harepass"
-	"harepass/internal/decide/outage"
+	"harepass/internal/decide/maintenance"
 	"harepass/internal/decide/overload"
 	"harepass/internal/decide/twophase"
 )
@@ -201,11 +201,11 @@
 	words     words
 
 	facts   atomic.Pointer[facts]
-	outages atomic.Pointer[outage.Book] // the latest one, from any goroutine
-	news    chan struct{}               // holds a token when there is a later one
-	heeded  *outage.Book                // that the module has heard of
-	book    outage.Book                 // the same
-	bare    []int                       // sections that were logged last as lost by it
+	outages atomic.Pointer[maintenance.Book] // the latest one, from any goroutine
+	news    chan struct{}                    // holds a token when there is a later one
+	heeded  *maintenance.Book                // that the module has heard of
+	book    maintenance.Book                 // the same
+	bare    []int                            // sections that were logged last as lost by it
 	known   atomic.Pointer[map[string]struct{}]
 	shared  atomic.Bool // with another process
 }
--- a/internal/core/outages.go
+++ b/internal/core/outages.go
@@ -6,13 +6,13 @@
 	"slices"
 
 	"harepass"
-	"harepass/internal/decide/outage"
+	"harepass/internal/decide/maintenance"
 )
 
 // This file is the owner's part in nodes that operators have taken out: the module hears of the list as the book tells it.
 
 // Outages brings the book as it is from now on. It does not wait, be the owner's queue as long as it may.
-func (o *Owner) Outages(b outage.Book) {
+func (o *Owner) Outages(b maintenance.Book) {
 	o.outages.Store(&b)
 	select {
 	case o.news <- struct{}{}:
--- a/internal/core/outages_test.go
+++ b/internal/core/outages_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"harepass"
-	"harepass/internal/decide/outage"
+	"harepass/internal/decide/maintenance"
 )
 
 // askedNode sends a query and tells which node its part went to; it is then served.
@@ -36,9 +36,9 @@
 	}
 	r.Listed("test", harepass.ListFull, []Node{node("a", 0), node("b", 0)})
 	r.pass(0)
-	book := outage.Book{}
+	book := maintenance.Book{}
 	call := func(out bool) {
-		book = outage.Book{"a": {Out: out, At: r.clock, From: book["a"].At}}
+		book = maintenance.Book{"a": {Out: out, At: r.clock, From: book["a"].At}}
 		r.Outages(book)
 		r.pass(0)
 	}
@@ -83,7 +83,7 @@
 	r := newRig(t, nil)
 	for r.Submit(r.query("free", 0)) {
 	}
-	r.Outages(outage.Book{"a": {Out: true, At: r.clock}})
+	r.Outages(maintenance.Book{"a": {Out: true, At: r.clock}})
 	r.turn()
 	if len(r.hand.calls) != 0 {
 		t.Errorf("%d calls to a node that was out before the turn", len(r.hand.calls))
@@ -97,7 +97,7 @@
 		c.Limits.Shards = 1
 		c.Log = slog.New(slog.NewTextHandler(&log, nil))
 	})
-	r.Outages(outage.Book{"a": {Out: true, At: r.clock}})
+	r.Outages(maintenance.Book{"a": {Out: true, At: r.clock}})
 	r.pass(0)
 	r.Listed("test", harepass.ListChanges, []Node{{Replica: harepass.Replica{ID: "a"}, Address: "a", Scheme: "hand"}})
 	r.pass(0)
--- a/internal/decide/pace/pace.go
+++ b/internal/decide/backoff/backoff.go
@@ -1,11 +1,11 @@
-// Package pace decides when one coordinator of many may call a service that all of them share and that serves calls
+// Package backoff decides when one coordinator of many may call a service that all of them share and that serves calls
 // in turn. What waits too long there fails, and has cost its turn all the same: a fleet that starts, or loses the
 // service, in one instant must not ask in one instant, and not together again either.
 //
 // Coordinators cannot talk to each other. Each draws its own moment from a span that grows with the fleet, so that
 // all of them together stay within what the service can take, and within the time after which what they may have missed
 // counts as told (told.go).
-package pace
+package backoff
 
 import (
 	"math/rand/v2"
--- a/internal/decide/pace/told.go
+++ b/internal/decide/backoff/told.go
@@ -1,4 +1,4 @@
-package pace
+package backoff
 
 import "time"
 
--- a/internal/decide/outage/outage.go
+++ b/internal/decide/maintenance/maintenance.go
@@ -1,6 +1,6 @@
-// Package outage decides what the module is told of map nodes that operators have taken out. It stands between what
+// Package maintenance decides what the module is told of map nodes that operators have taken out. It stands between what
 // sources list and what the module hears: sources may say what they like meanwhile.
-package outage
+package maintenance
 
 import (
 	"maps"
--- a/internal/decide/outage/outage_test.go
+++ b/internal/decide/maintenance/maintenance_test.go
@@ -1,4 +1,4 @@
-package outage
+package maintenance
 
 import (
 	"maps"
--- a/internal/decide/retune/retune_test.go
+++ b/internal/decide/reload/reload_test.go
@@ -1,4 +1,4 @@
-package retune
+package reload
 
 import (
 	"fmt"
--- a/internal/decide/place/budget.go
+++ b/internal/decide/subsetting/budget.go
@@ -1,4 +1,4 @@
-package place
+package subsetting
 
 // Lot draws numbers in [0, 1) that stand in for random ones where a budget of the whole fleet leaves each coordinator less
 // than one part: who draws a number under its share of a budget may send. The first draws of all who share the budget lie at equal
--- a/internal/decide/place/place.go
+++ b/internal/decide/subsetting/member.go
@@ -1,10 +1,10 @@
-// Package place makes the choices of one coordinator a function of its place in the fleet. Coordinators that cannot talk
+// Package subsetting makes the choices of one coordinator a function of its place in the fleet. Coordinators that cannot talk
 // to each other, but know how many they are and which one each is, so choose what adds up: every node is kept by the same
 // number of them, tried at a bounded rate, and sent a budget that is neither spent twice nor left lying in fractions.
 //
 // Everything here is arithmetic on the place and on what all coordinators are told alike; nobody is asked. A fleet that
 // changes its size disagrees for some seconds about it: each choice says by how much the sum may then be off.
-package place
+package subsetting
 
 import "math"
 
--- a/internal/decide/place/subset.go
+++ b/internal/decide/subsetting/subset.go
@@ -1,4 +1,4 @@
-package place
+package subsetting
 
 import "math"
 
--- a/internal/operator/register.go
+++ b/internal/operator/register.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"harepass"
-	"harepass/internal/decide/outage"
+	"harepass/internal/decide/maintenance"
 )
 
 const (
@@ -29,7 +29,7 @@
 
 // Owner is what the register tells; none of it blocks.
 type Owner interface {
-	Outages(outage.Book)
+	Outages(maintenance.Book)
 	Knows(id string) bool
 	Serving() error // why it does not
 	Shared(bool)    // whether another process of the coordinator serves beside it, so that limits hold for both
@@ -55,7 +55,7 @@
 // NewRegister reads what other processes have left; Found tells what that was. Run has to be started for the rest.
 func NewRegister(name string, files *Files, clock func() time.Duration) *Register {
 	r := &Register{Name: name, Files: files, Clock: clock, visits: make(chan chan struct{}),
-		mine: Snapshot{Name: name, Book: outage.Book{}}}
+		mine: Snapshot{Name: name, Book: maintenance.Book{}}}
 	if files != nil {
 		files.Prune()
 		r.take(files.Others())
@@ -218,7 +218,7 @@
 	}
 	now := r.Clock()
 	r.mine.Book.Forget(now - keepBack)
-	changed := r.mine.Book.Call(id, outage.Entry{Out: out, At: now, By: by})
+	changed := r.mine.Book.Call(id, maintenance.Entry{Out: out, At: now, By: by})
 	if changed {
 		r.dirty = true
 		r.tell()
--- a/internal/operator/register_test.go
+++ b/internal/operator/register_test.go
@@ -18,17 +18,17 @@
 	"time"
 
 	"harepass"
-	"harepass/internal/decide/outage"
+	"harepass/internal/decide/maintenance"
 )
 
 // owner knows the nodes a and b and keeps the book that it was told last.
 type owner struct {
 	mu     sync.Mutex
-	book   outage.Book
+	book   maintenance.Book
 	shared []bool
 }
 
-func (o *owner) Outages(b outage.Book) {
+func (o *owner) Outages(b maintenance.Book) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.book = b
@@ -170,7 +170,7 @@
 // Files that are torn, foreign, of another version or too long are left out, and the rest is used.
 func TestSpoiltFiles(t *testing.T) {
 	dir := t.TempDir()
-	good, err := Encode(Snapshot{Name: "n1", Book: outage.Book{"a": {Out: true, At: time.Hour}}})
+	good, err := Encode(Snapshot{Name: "n1", Book: maintenance.Book{"a": {Out: true, At: time.Hour}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -211,7 +211,7 @@
 
 // Each cut, each other byte and each other version of a snapshot is refused.
 func TestTornSnapshots(t *testing.T) {
-	s := Snapshot{Name: "n1", At: time.Second, Book: outage.Book{"a": {Out: true, At: time.Hour, By: "x"}}, Discovery: "d", List: json.RawMessage(`{"index":1}`),
+	s := Snapshot{Name: "n1", At: time.Second, Book: maintenance.Book{"a": {Out: true, At: time.Hour, By: "x"}}, Discovery: "d", List: json.RawMessage(`{"index":1}`),
 		Learned: &harepass.Memory{At: 1, Replicas: []harepass.ReplicaMemory{{ID: "a", Ratio: 2}}}}
 	good, err := Encode(s)
 	if err != nil {
@@ -239,7 +239,7 @@
 
 // Whatever a file holds, it is refused or is a snapshot that can be written again.
 func FuzzSnapshot(f *testing.F) {
-	good, _ := Encode(Snapshot{Name: "n1", Book: outage.Book{"a": {Out: true, At: 1}}, List: json.RawMessage(`{}`)})
+	good, _ := Encode(Snapshot{Name: "n1", Book: maintenance.Book{"a": {Out: true, At: 1}}, List: json.RawMessage(`{}`)})
 	f.Add(good)
 	f.Add([]byte("harepass-state 2 0 00000000\n"))
 	f.Add([]byte("harepass-state 1 0 00000000\n{}"))
--- a/internal/operator/snapshot.go
+++ b/internal/operator/snapshot.go
@@ -9,14 +9,14 @@
 	"time"
 
 	"harepass"
-	"harepass/internal/decide/outage"
+	"harepass/internal/decide/maintenance"
 )
 
 // Snapshot is what one process of a coordinator leaves to the others. Times are since the Unix epoch.
 type Snapshot struct {
 	Name      string           `json:"name"` // of the coordinator
 	At        time.Duration    `json:"at"`   // when the list was had last
-	Book      outage.Book      `json:"book"`
+	Book      maintenance.Book `json:"book"`
 	Discovery string           `json:"discovery,omitempty"` // the address that the list came from
 	List      json.RawMessage  `json:"list,omitempty"`      // in discovery's form
 	Learned   *harepass.Memory `json:"learned,omitempty"`   // of nodes; its time is its own
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -14,7 +14,7 @@
 
 	"harepass"
 	"harepass/internal/core"
-	"harepass/internal/decide/pace"
+	"harepass/internal/decide/backoff"
 	"harepass/internal/http1"
 )
 
@@ -64,7 +64,7 @@
 type Discovery struct {
 	Dial   http1.Dialer // nil for plain TCP
 	Listed func(harepass.ListScope, []core.Node)
-	Pace   *pace.Pace                       // that of a coordinator which is alone, unless set
+	Pace   *backoff.Pace                    // that of a coordinator which is alone, unless set
 	Kept   func(address string, whole List) // told of the whole list when it has changed; nil for nobody
 
 	address string              // of Run alone, as index is
@@ -80,7 +80,7 @@
 // have been given the known list, if there is one.
 func NewDiscovery(address string, known List) *Discovery {
 	d := &Discovery{address: address, index: noIndex, asked: make(chan struct{}, 1), moved: make(chan string, 1), whole: map[string]Endpoint{},
-		Pace: &pace.Pace{Fleet: 1, Rand: rand.New(rand.NewPCG(rand.Uint64(), 0))}}
+		Pace: &backoff.Pace{Fleet: 1, Rand: rand.New(rand.NewPCG(rand.Uint64(), 0))}}
 	if len(known.Endpoints) > 0 {
 		d.index = known.Index
 	}
@@ -208,7 +208,7 @@
 		switch {
 		case d.index == noIndex:
 		case watch: // renewed in time it costs no turn
-			target, limit = d.since(pace.Hold), pace.Hold+pace.Silence
+			target, limit = d.since(backoff.Hold), backoff.Hold+backoff.Silence
 		default: // so that its answer tells at once what is new, or that nothing is
 			target = d.since(time.Millisecond)
 		}
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -16,7 +16,7 @@
 
 	"harepass"
 	"harepass/internal/core"
-	"harepass/internal/decide/pace"
+	"harepass/internal/decide/backoff"
 	"harepass/internal/standin"
 )
 
@@ -106,7 +106,7 @@
 		}
 		silent.Store(true)
 		before := len(told)
-		pass(2*pace.Hold + pace.Silence + pace.Answer/2) // the watch that stands is answered, the next one is silent
+		pass(2*backoff.Hold + backoff.Silence + backoff.Answer/2) // the watch that stands is answered, the next one is silent
 		if last := calls[len(calls)-1]; !strings.HasSuffix(last, "&hold_ms=1") || len(told) > before+1 {
 			t.Errorf("a silent watch was followed by %s, told %v", last, told[before:])
 		}
@@ -232,7 +232,7 @@
 		one := `"endpoints":[{"name":"b","address":"b:1","status":"in_service"}]}`
 		from := func(index int) string { return fmt.Sprintf("/registry/instances?from=%d&hold_ms=1000", index) }
 		renew := func() { // the calls that fail are made again by themselves, after a pause
-			time.Sleep(pace.Spread)
+			time.Sleep(backoff.Spread)
 			synctest.Wait()
 		}
 		for _, c := range []struct{ answer, next, told string }{
@@ -278,7 +278,7 @@
 }
 
 // held is how long watches ask to be held.
-var held = fmt.Sprint(pace.Hold.Milliseconds())
+var held = fmt.Sprint(backoff.Hold.Milliseconds())
 
 // Whatever fails, a change is heard of before it counts as told: 6 s after discovery had it and could be reached. Each
 // trouble begins with the change; the coordinator is one of a fleet that can be heard in the time. Seen on days of six
@@ -322,7 +322,7 @@
 					watch := r.URL.Query().Get("hold_ms") == held
 					switch {
 					case watch && !changed.Load():
-						if time.Sleep(pace.Hold); !changed.Load() {
+						if time.Sleep(backoff.Hold); !changed.Load() {
 							io.WriteString(w, `{"index":7,"endpoints":[]}`)
 							return
 						}
@@ -340,7 +340,7 @@
 				defer served.Close()
 				d := NewDiscovery("d", List{Index: 7, Endpoints: []Endpoint{{Name: "a", Address: "a:1", Status: "in_service"}}})
 				d.Dial = memory.Dial
-				d.Pace = &pace.Pace{Fleet: 6 + int(seed%3)*8, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(seed, 1))}
+				d.Pace = &backoff.Pace{Fleet: 6 + int(seed%3)*8, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(seed, 1))}
 				told := make(chan time.Time, 1)
 				d.Listed = func(scope harepass.ListScope, nodes []core.Node) {
 					if len(nodes) == 1 && nodes[0].State == harepass.Draining {
@@ -359,7 +359,7 @@
 					over.Store(true)
 					reachable = time.Now()
 				}
-				if took := (<-told).Sub(reachable); took >= pace.Binds {
+				if took := (<-told).Sub(reachable); took >= backoff.Binds {
 					t.Errorf("%s, seed %d: the drain was heard of %v after discovery had it and could be reached", tc.name, seed, took)
 				}
 				cancel()
@@ -388,7 +388,7 @@
 				var calls atomic.Int32
 				old := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					if r.URL.Query().Get("hold_ms") == held {
-						time.Sleep(pace.Hold)
+						time.Sleep(backoff.Hold)
 					}
 					io.WriteString(w, `{"index":7,"endpoints":[]}`)
 				})}
@@ -407,7 +407,7 @@
 				go next.Serve(memory.Listen("new"))
 				d := NewDiscovery("old", List{Index: 7, Endpoints: []Endpoint{{Name: "a", Address: "a:1", Status: "in_service"}}})
 				d.Dial = memory.Dial
-				d.Pace = &pace.Pace{Fleet: 6 + int(seed%3)*8, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(seed, 1))}
+				d.Pace = &backoff.Pace{Fleet: 6 + int(seed%3)*8, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(seed, 1))}
 				told := make(chan time.Time, 9)
 				d.Listed = func(_ harepass.ListScope, nodes []core.Node) {
 					if len(nodes) > 0 {
@@ -421,7 +421,7 @@
 				time.Sleep(5*time.Second + time.Duration(seed)*53*time.Millisecond)
 				began := time.Now()
 				d.Move("new")
-				if took := (<-told).Sub(began); took >= pace.Moved {
+				if took := (<-told).Sub(began); took >= backoff.Moved {
 					t.Errorf("%s, seed %d: heard of %v after the move", name, seed, took)
 				}
 				cancel()
--- a/state.go
+++ b/state.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"harepass/internal/decide/place"
+	"harepass/internal/decide/subsetting"
 )
 
 // This file declares what an Aggregator remembers, and plain arithmetic on it. No decision is here.
@@ -31,15 +31,15 @@
 	byNumber map[int64]*query
 	parts    map[string]*part
 
-	subset     place.Subset  // of the replicas, that this root keeps
-	fleet      float64       // how much more seldom than in a small fleet a root meets a replica
-	tightest   time.Duration // the tightest aim of any class
-	lastOK     time.Duration // when anything was served last
-	heldUp     bool          // this step came late: the root itself stood still
-	still      bool          // no replica's standing or ratio changes any more in this step
-	idleLimit  time.Duration // connections unused for so long were lost
-	partial    bool          // some class may be answered in part
-	dirty      bool          // the list or a replica's health changed since the last refill
+	subset     subsetting.Subset // of the replicas, that this root keeps
+	fleet      float64           // how much more seldom than in a small fleet a root meets a replica
+	tightest   time.Duration     // the tightest aim of any class
+	lastOK     time.Duration     // when anything was served last
+	heldUp     bool              // this step came late: the root itself stood still
+	still      bool              // no replica's standing or ratio changes any more in this step
+	idleLimit  time.Duration     // connections unused for so long were lost
+	partial    bool              // some class may be answered in part
+	dirty      bool              // the list or a replica's health changed since the last refill
 	nextRefill time.Duration
 	wakeAt     time.Duration
 	subscribed bool
@@ -115,9 +115,9 @@
 	coldFrom   time.Duration // its last start, listed or inferred; 0 for long ago
 	coldTokens float64
 	coldAt     time.Duration
-	seat       place.Seat // among the roots that keep it
+	seat       subsetting.Seat // among the roots that keep it
 	seated     bool
-	lot        place.Lot
+	lot        subsetting.Lot
 }
 
 func newReplica(r Replica, classes int) *replica {
@@ -259,11 +259,11 @@
 func (s *shard) subset() []*replica { return s.holders[:s.kept] }
 
 // place is this root's; none where it would change nothing.
-func (a *Aggregator) place() place.Place {
+func (a *Aggregator) place() subsetting.Place {
 	if a.fleet <= 1 {
-		return place.Place{}
+		return subsetting.Place{}
 	}
-	return place.Place{Me: a.set.Me - 1, Of: a.set.Roots}
+	return subsetting.Place{Me: a.set.Me - 1, Of: a.set.Roots}
 }
 
 // lot draws a number for a cold replica: by this root's place, or at random where it has none.
@@ -280,8 +280,8 @@
 	if !pl.Known() {
 		return a.now + pause
 	}
-	pause = max(pause, place.Spread(a.subset.Share*float64(pl.Of), trialRate))
-	return r.seat.Turn(a.now, pause, place.Salt(r.ID))
+	pause = max(pause, subsetting.Spread(a.subset.Share*float64(pl.Of), trialRate))
+	return r.seat.Turn(a.now, pause, subsetting.Salt(r.ID))
 }
 
 // settle finds this root's place: its subset of what is listed as running, and the key of each replica there.
@@ -293,14 +293,14 @@
 			running++
 		}
 	}
-	a.subset = place.NewSubset(place.Place{Me: a.set.Me - 1, Of: a.set.Roots}, place.Ring{Cells: a.set.Cells, Reach: a.set.Reach, Nodes: running}, leastKept)
+	a.subset = subsetting.NewSubset(subsetting.Place{Me: a.set.Me - 1, Of: a.set.Roots}, subsetting.Ring{Cells: a.set.Cells, Reach: a.set.Reach, Nodes: running}, leastKept)
 	a.fleet = max(1, a.subset.Share*float64(a.set.Roots)/fewRoots)
 	for cell, some := range cells {
 		slices.SortFunc(some, func(x, y *replica) int { return cmp.Or(cmp.Compare(x.Since, y.Since), cmp.Compare(x.ID, y.ID)) })
 		for rank, r := range some {
 			r.key = a.subset.Key(cell, rank)
 			if seat := a.subset.Seat(a.place(), r.key); !r.seated || seat != r.seat {
-				r.seat, r.seated, r.lot = seat, true, seat.Lot(place.Salt(r.ID))
+				r.seat, r.seated, r.lot = seat, true, seat.Lot(subsetting.Salt(r.ID))
 			}
 		}
 	}
