Capacity experiment: cost by nodes, coordinators, changes, open queries, connections

bin/lab run capacity measures CPU time (getrusage), bytes, heap and descriptors at four sizes or more, fits each series with gonum and writes JSON and a plot on log axes. A test plays the same shape at small size, with verdicts by counts.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"harepass/internal/capacity"
 	"harepass/internal/lab"
 )
 
@@ -27,7 +28,7 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Emulated map nodes, and experiments on the coordinator",
 		SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(run(), nodes(), mountain(), load(), report(), logs(), upgrades(), fleet(), coordinator())
+	c.AddCommand(run(), nodes(), mountain(), load(), report(), logs(), upgrades(), fleet(), coordinator(), capacityNodes())
 	return c
 }
 
@@ -159,3 +160,10 @@
 	return &cobra.Command{Use: lab.ServeCommand, Hidden: true, Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return lab.Serve(cmd.InOrStdin(), cmd.OutOrStdout()) }}
 }
+
+func capacityNodes() *cobra.Command {
+	return &cobra.Command{Use: lab.CapacityNodesCommand, Hidden: true, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return capacity.ServeNodes(cmd.InOrStdin(), cmd.OutOrStdout())
+		}}
+}
--- /dev/null
+++ b/internal/capacity/fit.go
@@ -0,0 +1,77 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Fit is how a cost grows: the exponent of its variable, and a straight line.
+type Fit struct {
+	Exponent      float64 `json:"exponent"` // k of y = c x^k, by regression on logarithms
+	ExponentError float64 `json:"exponent_error"`
+	Factor        float64 `json:"factor"` // c
+	Slope         float64 `json:"slope"`  // b of y = a + b x, each point weighted by 1/y^2
+	SlopeError    float64 `json:"slope_error"`
+	Intercept     float64 `json:"intercept"` // a
+	Residual      float64 `json:"residual"`  // of the series' form: root mean square of the relative deviations
+	R2            float64 `json:"r2"`        // on logarithms
+}
+
+// leastPoints is how many sizes a fit has to have.
+const leastPoints = 4
+
+// fit fits a series' points, and tells by how much they miss its form.
+func fit(form Form, points []Point) (Fit, error) {
+	if len(points) < leastPoints {
+		return Fit{}, fmt.Errorf("capacity: %d points, %d at least", len(points), leastPoints)
+	}
+	var x, y, logX, logY, weights []float64
+	for _, p := range points {
+		if p.X <= 0 || p.Median <= 0 {
+			return Fit{}, fmt.Errorf("capacity: %g at %g cannot be fitted", p.Median, p.X)
+		}
+		x, y = append(x, p.X), append(y, p.Median)
+		logX, logY = append(logX, math.Log(p.X)), append(logY, math.Log(p.Median))
+		weights = append(weights, 1/(p.Median*p.Median))
+	}
+	var f Fit
+	logFactor, exponent := stat.LinearRegression(logX, logY, nil, false)
+	f.Exponent, f.Factor = exponent, math.Exp(logFactor)
+	f.R2 = stat.RSquared(logX, logY, nil, logFactor, exponent)
+	f.ExponentError = slopeError(logX, logY, nil, logFactor, exponent)
+	f.Intercept, f.Slope = stat.LinearRegression(x, y, weights, false)
+	f.SlopeError = slopeError(x, y, weights, f.Intercept, f.Slope)
+	sum := 0.0
+	for i := range x {
+		off := f.at(form, x[i])/y[i] - 1
+		sum += off * off
+	}
+	f.Residual = math.Sqrt(sum / float64(len(x)))
+	return f, nil
+}
+
+// at is the value of a form at x.
+func (f Fit) at(form Form, x float64) float64 {
+	if form == Linear {
+		return f.Intercept + f.Slope*x
+	}
+	return f.Factor * math.Pow(x, f.Exponent)
+}
+
+// slopeError is the standard error of a regression's slope.
+func slopeError(x, y, weights []float64, intercept, slope float64) float64 {
+	mean := stat.Mean(x, weights)
+	var squares, width float64
+	for i := range x {
+		w := 1.0
+		if weights != nil {
+			w = weights[i]
+		}
+		off := y[i] - intercept - slope*x[i]
+		squares += w * off * off
+		width += w * (x[i] - mean) * (x[i] - mean)
+	}
+	return math.Sqrt(squares / float64(len(x)-2) / width)
+}
--- /dev/null
+++ b/internal/capacity/fleet.go
@@ -0,0 +1,101 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/platform"
+)
+
+// The size that the page designs for.
+const (
+	Coordinators = 1500
+	DataNodes    = 7000
+	Regions      = 7
+	Zones        = 19
+	QueriesAll   = 270_000 // a second, over all coordinators
+	QueryParts   = 120
+	AnswerAim    = 69 * time.Millisecond
+	AnswerShare  = 0.99 // of the queries, answered within AnswerAim
+
+	ChangesOfSettings = 2300 // a day
+	Failures          = 48   // machines a day
+	Restarts          = 1700 // machines a day, replaced ones included
+	InForce           = 3 * time.Second
+
+	ControlCores    = 0.017 // of a core, for a coordinator's control path
+	ControlMemory   = 128.0 // MB
+	ControlBytes    = 27e3  // a second
+	ControlMachines = 10
+	Descriptors     = 1024 // of a process on a scored day
+)
+
+const (
+	holders  = 3 // of a section: the nodes of so many cells in a row
+	served   = 20 * time.Millisecond
+	started  = 100 * time.Second // on the virtual clock
+	interval = time.Millisecond  // between changes that come one by one, on the virtual clock
+)
+
+// settings are those of one coordinator of the fleet, before so many nodes, each a cell of its own.
+func settings(nodes int) harepass.Settings {
+	return harepass.Settings{Roots: Coordinators, Me: 1, Cells: nodes, Reach: min(holders, nodes), CallBatch: 1, Turn: time.Millisecond,
+		MaxAttempts: 4, Cancel: true, Subscribe: true, ListMaxAge: 10 * time.Second, RetryAdvice: time.Second,
+		Cold:    harepass.Cold{Start: 0.21, WarmWithin: 18 * time.Second, Multiple: 2.5, Window: 1500 * time.Millisecond},
+		Classes: []harepass.Class{{Name: "search", Aim: AnswerAim, Deadline: time.Second, Worth: 1, LateWorth: 0.3, Need: 1, Floor: 0.7}}}
+}
+
+// nodeName is alike for all sizes.
+func nodeName(no int) string { return fmt.Sprintf("s-%08x", no) }
+
+// replicas is the list of so many nodes as the module hears it.
+func replicas(nodes int) (list []harepass.Replica) {
+	for i := range nodes {
+		list = append(list, harepass.Replica{ID: nodeName(i), Cell: i, Zone: zone(i)})
+	}
+	return list
+}
+
+func zone(no int) string { return string(rune('a' + no%Zones)) }
+
+// coreNodes is the list of so many nodes as the owner hears it, all at one address.
+func coreNodes(nodes int, address string) (list []core.Node) {
+	for _, r := range replicas(nodes) {
+		list = append(list, core.Node{Replica: r, Address: address, Scheme: platform.Scheme})
+	}
+	return list
+}
+
+// wireEntry is an entry in discovery's form, of the length that its entries have.
+type wireEntry struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+	SinceMS int64   `json:"since_ms"`
+}
+
+// wireList is an answer of discovery.
+type wireList struct {
+	Index     int64       `json:"index"`
+	Snapshot  bool        `json:"snapshot"`
+	Endpoints []wireEntry `json:"endpoints"`
+}
+
+func entry(no int, since time.Duration) wireEntry {
+	return wireEntry{Name: nodeName(no), Address: fmt.Sprintf("10.%d.%d.%d:8080", 1+no>>16, no>>8&255, no&255), Zone: zone(no), Type: "m2",
+		Group: no, Status: "in_service", Weight: 1, SinceMS: since.Milliseconds()}
+}
+
+func entries(nodes int) []wireEntry {
+	list := []wireEntry{}
+	for i := range nodes {
+		list = append(list, entry(i, 0))
+	}
+	return list
+}
--- /dev/null
+++ b/internal/capacity/measure.go
@@ -0,0 +1,124 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// Effort is how much is spent on a point.
+type Effort struct {
+	Repeats int
+	CPU     time.Duration // that one repeat takes at least, unless it has Most operations before
+	Most    int
+}
+
+// probe is one series to be measured.
+type probe struct {
+	Series
+	sizes   []int
+	prepare func(size int) (*subject, error)
+}
+
+// subject is what a probe measures at one size: an operation whose CPU time counts, or a figure such as bytes.
+type subject struct {
+	operate func() error             // one operation
+	figure  func() (float64, error)  // in place of operate
+	unit    time.Duration            // that a point counts in
+	parts   int                      // that one operation is divided by; 0 for 1
+	check   func(operated int) error // whether all that was asked for has happened; nil for nothing
+	end     func()                   // nil for nothing
+}
+
+// measure takes all points of a probe and fits them.
+func (p probe) measure(e Effort) (Series, error) {
+	s := p.Series
+	for _, size := range p.sizes {
+		point, err := p.point(size, e)
+		if err != nil {
+			return s, fmt.Errorf("%s at %d: %w", s.Name, size, err)
+		}
+		s.Points = append(s.Points, point)
+	}
+	var err error
+	s.Fit, err = fit(s.Form, s.Points)
+	return s, err
+}
+
+func (p probe) point(size int, e Effort) (Point, error) {
+	subject, err := p.prepare(size)
+	if err != nil {
+		return Point{}, err
+	}
+	if subject.end != nil {
+		defer subject.end()
+	}
+	if subject.operate == nil {
+		return p.figures(size, subject, e)
+	}
+	point := Point{X: float64(size)}
+	var costs []float64
+	for range e.Repeats {
+		cost, count, err := subject.repeat(e)
+		if err != nil {
+			return point, err
+		}
+		costs = append(costs, cost)
+		point.Count += count
+	}
+	if subject.check != nil {
+		if err := subject.check(point.Count); err != nil {
+			return point, err
+		}
+	}
+	return point.summed(costs), nil
+}
+
+// figures reads a figure as often as costs are measured.
+func (p probe) figures(size int, s *subject, e Effort) (Point, error) {
+	point := Point{X: float64(size), Count: e.Repeats}
+	var values []float64
+	for range e.Repeats {
+		value, err := s.figure()
+		if err != nil {
+			return point, err
+		}
+		values = append(values, value)
+	}
+	return point.summed(values), nil
+}
+
+// repeat is the mean cost of an operation over as many as the effort asks for.
+func (s *subject) repeat(e Effort) (cost float64, count int, err error) {
+	runtime.GC() // what came before is not paid for here
+	began := cpuTime()
+	spent := time.Duration(0)
+	for count == 0 || spent < e.CPU && count < e.Most {
+		if err := s.operate(); err != nil {
+			return 0, count, err
+		}
+		count++
+		spent = cpuTime() - began
+	}
+	parts := float64(max(1, s.parts))
+	return float64(spent) / float64(count) / parts / float64(s.unit), count, nil
+}
+
+// summed is the point with the median and the range of its repeats.
+func (p Point) summed(values []float64) Point {
+	slices.Sort(values)
+	p.Repeats = len(values)
+	p.Median, p.Low, p.High = round(values[len(values)/2]), round(values[0]), round(values[len(values)-1])
+	return p
+}
+
+// cpuTime is what this process has used so far, in user and system mode.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/capacity/plan.go
@@ -0,0 +1,86 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// Plan is what a run measures: at which sizes, and with how much effort.
+type Plan struct {
+	Nodes       []int
+	Wide        []int // nodes, for what grows with their square
+	Open        []int
+	Parts       []int
+	Entries     []int // changed in one answer
+	Rates       []int // changes a second
+	Connections []int
+	Fleet       []int // coordinators
+	Effort      Effort
+	Start       Nodes // data nodes for what goes through sockets
+}
+
+// Full is the plan of the page: some minutes.
+func Full(start Nodes) Plan {
+	return Plan{Nodes: []int{70, 220, 700, 2200, DataNodes}, Wide: []int{70, 220, 700, 2200, DataNodes}, Open: []int{1, 4, 12, 36}, Parts: []int{4, 12, 40, QueryParts},
+		Entries: []int{4, 12, 37, 115, zoneEntries}, Rates: []int{1, 3, 10, 32}, Connections: []int{46, 146, 466, 1466, keptNodes},
+		Fleet: []int{15, 47, 150, 475, Coordinators}, Effort: Effort{Repeats: 5, CPU: 25 * time.Millisecond, Most: 2000}, Start: start}
+}
+
+// Small is the same shape at small size, for tests: one operation for each point.
+func Small() Plan {
+	return Plan{Nodes: []int{6, 12, 24, 60}, Wide: []int{6, 12, 24, 60}, Open: []int{1, 2, 4, 10}, Parts: []int{1, 2, 4, 10}, Entries: []int{1, 2, 4, 10},
+		Rates: []int{1, 2, 4, 10}, Connections: []int{1, 2, 4, 10}, Fleet: []int{3, 10, 20, 30}, Effort: Effort{Repeats: 1, Most: 1}, Start: HereNodes}
+}
+
+const (
+	zoneEntries = DataNodes / Zones                     // nodes of a zone
+	keptNodes   = (2*DataNodes + holders - 1) / holders // that one coordinator keeps connections with: two holders of each section
+)
+
+func last(sizes []int) int { return sizes[len(sizes)-1] }
+
+// probes are the series of a plan.
+func (p Plan) probes() []probe {
+	list := last(p.Nodes)
+	return []probe{
+		{Series{Name: "change-module", Title: "one changed entry, module alone, no queries", Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Nodes, changeModule},
+		{Series{Name: "change-path", Title: "one changed entry: decode, owner, module", Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Nodes, changePath},
+		{Series{Name: "change-touched", Title: "one changed entry, module alone, every section asked before", Variable: "nodes", Unit: "us CPU", Form: Power, Residual: 0.5}, p.Wide, changeTouched},
+		{Series{Name: "idle-second", Title: "the module's own work each second, no queries", Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Nodes, idleSecond},
+		{Series{Name: "renew-shares", Title: "the module's own work each second, every section asked before", Variable: "nodes", Unit: "us CPU", Form: Power, Residual: 0.5}, p.Wide, renewShares},
+		{Series{Name: "changes-rate", Title: "a second with so many changes, module alone", Variable: "changes a second", Unit: "ms CPU", Form: Linear, Residual: 0.35}, p.Rates, changesBySecond(list)},
+		{Series{Name: "list-path", Title: "the whole list at a start: decode, owner, module", Variable: "nodes", Unit: "ms CPU", Form: Power, Residual: 0.5}, p.Nodes, listPath},
+		{Series{Name: "zone-together", Title: "changed entries in one answer", Variable: "entries", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Entries, changesTogether(list)},
+		{Series{Name: "zone-singly", Title: "changed entries in an answer each", Variable: "entries", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Entries, changesSingly(list)},
+		{Series{Name: "renewal", Title: "a watch without news, renewed", Variable: "nodes", Unit: "us CPU", Form: Power, Residual: 0.35}, p.Nodes, renewal},
+		{Series{Name: "renewal-bytes", Title: "the same on the wire, both ways", Variable: "nodes", Unit: "bytes", Form: Power, Residual: 0.05}, p.Nodes, renewalBytes},
+		{Series{Name: "list-bytes", Title: "the whole list on the wire", Variable: "nodes", Unit: "MB", Form: Power, Residual: 0.1}, p.Nodes, listBytes},
+		{Series{Name: "list-memory", Title: "live heap with the list", Variable: "nodes", Unit: "MB", Form: Power, Residual: 0.5}, p.Nodes, listMemory},
+		{Series{Name: "query-module", Title: fmt.Sprintf("module, a query of %d parts over %d sections, each served after %v", QueryParts, QueryParts, served), Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Nodes, queryByNodes},
+		{Series{Name: "query-open", Title: fmt.Sprintf("the same before %d nodes", openNodes), Variable: "open queries", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Open, queryByOpen},
+		{Series{Name: "query-parts", Title: "a query through front, owner, module and nodes' connections", Variable: "parts", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Parts, queryByParts(QueryParts, p.Start)},
+		{Series{Name: "query-sockets", Title: fmt.Sprintf("the same, of %d parts", QueryParts), Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Nodes, socketQueryByNodes(p.Start)},
+		{Series{Name: "refusal", Title: "a query refused at the gate", Variable: "parts", Unit: "us CPU", Form: Power, Residual: 0.5}, p.Parts, refusalByParts},
+		{Series{Name: "connection-memory", Title: "heap and stacks of idle connections to nodes", Variable: "connections", Unit: "MB", Form: Linear, Residual: 0.5}, p.Connections, connectionMemory(p.Start)},
+		{Series{Name: "connection-descriptors", Title: "descriptors of the same", Variable: "connections", Unit: "descriptors", Form: Linear, Residual: 0.5}, p.Connections, connectionDescriptors(p.Start)},
+		{Series{Name: "fleet-start", Title: "virtual time until the last coordinator has its list, all started at once, 0.1 s a call assumed", Variable: "coordinators", Unit: "s", Form: Power, Residual: 0.8}, p.Fleet, lastHeard},
+	}
+}
+
+// Measure runs a plan. progress is told of each series.
+func Measure(p Plan, progress io.Writer) (*Run, error) {
+	r := &Run{}
+	r.describe()
+	began := time.Now()
+	for _, probe := range p.probes() {
+		s, err := probe.measure(p.Effort)
+		if err != nil {
+			return nil, err
+		}
+		r.Series = append(r.Series, s)
+		fmt.Fprintf(progress, "%-24s %6.1f s\n", s.Name, time.Since(began).Seconds())
+	}
+	r.Seconds = round(time.Since(began).Seconds())
+	return r, nil
+}
--- /dev/null
+++ b/internal/capacity/sockets.go
@@ -0,0 +1,290 @@
+package capacity
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/decide/overload"
+	"harepass/internal/http1"
+	"harepass/internal/platform"
+	"harepass/internal/standin"
+)
+
+// Nodes starts data nodes that serve each part after a few milliseconds, and tells the one address that all of them have.
+type Nodes func() (address string, end func(), err error)
+
+// HereNodes has the nodes in this process, whose CPU time then counts theirs too.
+func HereNodes() (address string, end func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	go serveNodes(l)
+	return l.Addr().String(), func() { l.Close() }, nil
+}
+
+func serveNodes(l net.Listener) {
+	(&standin.Fleet{Heard: func(string, standin.Kind) {}, Script: func(shard, _ int) standin.Reply {
+		return standin.Reply{After: time.Duration(5+shard*37%15) * time.Millisecond} // apart from each other
+	}}).Frames(l)
+}
+
+// ServeNodes is the process of ChildNodes: it tells its address and serves until its input ends.
+func ServeNodes(in io.Reader, out io.Writer) error {
+	address, end, err := HereNodes()
+	if err != nil {
+		return err
+	}
+	defer end()
+	if _, err := fmt.Fprintln(out, address); err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, in)
+	return err
+}
+
+// ChildNodes has the nodes in a process of their own, which a command of this program starts.
+func ChildNodes(command string) Nodes {
+	return func() (address string, end func(), err error) {
+		self, err := os.Executable()
+		if err != nil {
+			return "", nil, err
+		}
+		cmd := exec.Command(self, command)
+		cmd.Stderr = os.Stderr
+		in, err := cmd.StdinPipe()
+		if err != nil {
+			return "", nil, err
+		}
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			return "", nil, err
+		}
+		if err := cmd.Start(); err != nil {
+			return "", nil, err
+		}
+		end = func() { in.Close(); cmd.Wait() }
+		line, err := bufio.NewReader(out).ReadString('\n')
+		if err != nil {
+			end()
+			return "", nil, err
+		}
+		return strings.TrimSpace(line), end, nil
+	}
+}
+
+// coordinator is the data path of one: the platform's front, the owner and its connections to nodes. Queries come without a
+// client's connection.
+type coordinator struct {
+	front  *platform.Front
+	owner  *core.Owner
+	caller *platform.Nodes
+	nodes  func()
+	number int
+}
+
+func newCoordinator(nodes int, start Nodes, gate core.Gate) (*coordinator, error) {
+	address, end, err := start()
+	if err != nil {
+		return nil, err
+	}
+	clock := core.SystemClock()
+	caller := &platform.Nodes{Streams: 32, ConnectTimeout: time.Second, Quiet: time.Second, KeepAlive: time.Minute}
+	set := settings(nodes)
+	set.Classes[0].Aim = time.Second // no query is refused for a busy machine's sake
+	set.Classes[0].Deadline = 10 * time.Second
+	owner, err := core.New(core.Config{Seed: 1, Clock: clock, Settings: set, Subscribe: func() {}, Asked: platform.Source, Gate: gate,
+		Callers: map[string]core.Caller{platform.Scheme: caller}})
+	if err != nil {
+		end()
+		return nil, err
+	}
+	caller.Owner = owner
+	go owner.Run()
+	owner.Listed(platform.Source, harepass.ListFull, coreNodes(nodes, address))
+	<-owner.Started()
+	return &coordinator{front: &platform.Front{Owner: owner, Clock: clock}, owner: owner, caller: caller, nodes: end}, nil
+}
+
+func (c *coordinator) end() {
+	c.owner.Stop()
+	c.caller.Close()
+	c.nodes()
+}
+
+// body is a query over so many sections.
+func body(parts int) []byte {
+	type slice struct {
+		Slice int     `json:"slice"`
+		Mass  float64 `json:"mass"`
+	}
+	q := struct {
+		Slices []slice `json:"slices"`
+		Filter string  `json:"filter"`
+	}{Filter: "c41e77d0"}
+	for i := range parts {
+		q.Slices = append(q.Slices, slice{i, 1 / float64(parts)})
+	}
+	data, err := json.Marshal(q)
+	if err != nil {
+		panic(err) // numbers and a string
+	}
+	return data
+}
+
+// ask has a query answered, and returns its status.
+func (c *coordinator) ask(body []byte) int {
+	c.number++
+	req := &http1.Message{Method: "POST", Target: "/api", Body: body, Header: textproto.MIMEHeader{"X-Call-Id": {"q" + strconv.Itoa(c.number)},
+		"X-Call-Class": {"search"}, "X-Budget": {"10000m"}}}
+	return c.front.Handle(req, nil).Status
+}
+
+// queryByParts is a query through the front and the nodes' connections, one after the other.
+func queryByParts(nodes int, start Nodes) func(parts int) (*subject, error) {
+	return func(parts int) (*subject, error) { return socketQuery(nodes, parts, start) }
+}
+
+// socketQueryByNodes is one of QueryParts parts while the list has so many nodes.
+func socketQueryByNodes(start Nodes) func(nodes int) (*subject, error) {
+	return func(nodes int) (*subject, error) { return socketQuery(nodes, QueryParts, start) }
+}
+
+func socketQuery(nodes, parts int, start Nodes) (*subject, error) {
+	c, err := newCoordinator(nodes, start, nil)
+	if err != nil {
+		return nil, err
+	}
+	text := body(parts)
+	s := &subject{unit: time.Microsecond, end: c.end, operate: func() error {
+		if status := c.ask(text); status != 200 {
+			return fmt.Errorf("capacity: a query was answered with %d", status)
+		}
+		return nil
+	}}
+	for range 4 { // opens connections
+		if err := s.operate(); err != nil {
+			c.end()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// refuser is a gate that lets nobody in.
+type refuser struct{ turnGate }
+
+// Admit implements core.Gate.
+func (refuser) Admit(overload.Arrival) (bool, time.Duration) { return false, time.Second }
+
+// refusalByParts is a query of so many parts that is refused.
+func refusalByParts(parts int) (*subject, error) {
+	c, err := newCoordinator(1, HereNodes, refuser{})
+	if err != nil {
+		return nil, err
+	}
+	text := body(parts)
+	return &subject{unit: time.Microsecond, end: c.end, operate: func() error {
+		if status := c.ask(text); status != 429 {
+			return fmt.Errorf("capacity: a query that was to be refused was answered with %d", status)
+		}
+		return nil
+	}}, nil
+}
+
+// connections are some to nodes, one to each, all idle.
+type connections struct {
+	nodes *platform.Nodes
+	end   func()
+	ended atomic.Int64
+	done  chan struct{}
+	most  int64
+}
+
+// Ended implements core.Reporter.
+func (c *connections) Ended(_ *core.Attempt, outcome harepass.Outcome, _ []byte) {
+	if outcome == harepass.Served && c.ended.Add(1) == c.most {
+		close(c.done)
+	}
+}
+
+var errNoConnections = errors.New("capacity: not all connections came up")
+
+// openConnections opens so many by sending a part on each.
+func openConnections(count int, start Nodes) (*connections, error) {
+	address, end, err := start()
+	if err != nil {
+		return nil, err
+	}
+	c := &connections{end: end, done: make(chan struct{}), most: int64(count),
+		nodes: &platform.Nodes{Streams: 32, ConnectTimeout: answerWait, Quiet: answerWait, KeepAlive: time.Hour}}
+	c.nodes.Owner = c
+	for i, node := range coreNodes(count, address) {
+		c.nodes.Call(node, []*core.Attempt{{Query: "q" + strconv.Itoa(i), Shard: i, Node: node.ID, Text: []byte("c41e77d0"), Timeout: answerWait}})
+	}
+	if wait(c.done) != nil {
+		c.close()
+		return nil, errNoConnections
+	}
+	return c, nil
+}
+
+func (c *connections) close() {
+	c.nodes.Close()
+	c.end()
+}
+
+// connectionMemory is live heap and stacks for so many connections.
+func connectionMemory(start Nodes) func(count int) (*subject, error) {
+	return connectionFigure(start, func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc+m.StackInuse) / 1e6
+	})
+}
+
+// connectionDescriptors is how many descriptors so many connections take.
+func connectionDescriptors(start Nodes) func(count int) (*subject, error) {
+	return connectionFigure(start, func() float64 {
+		list, err := os.ReadDir("/proc/self/fd")
+		if err != nil {
+			return 0
+		}
+		return float64(len(list))
+	})
+}
+
+// connectionFigure is by how much a figure is higher with connections than without.
+func connectionFigure(start Nodes, read func() float64) func(count int) (*subject, error) {
+	return func(count int) (*subject, error) {
+		return &subject{figure: func() (float64, error) {
+			before := read()
+			c, err := openConnections(count, start)
+			if err != nil {
+				return 0, err
+			}
+			defer c.close()
+			after := read()
+			if held := c.nodes.Held(); held != count {
+				return 0, fmt.Errorf("capacity: %d connections are held, not %d", held, count)
+			}
+			return after - before, nil
+		}}, nil
+	}
+}
--- /dev/null
+++ b/internal/capacity/summary.go
@@ -0,0 +1,14 @@
+package capacity
+
+import "fmt"
+
+// Summary is a row for each series, with what was measured at its largest size.
+func (r *Run) Summary() (rows [][]any) {
+	for _, s := range r.Series {
+		p, f := s.Points[len(s.Points)-1], s.Fit
+		rows = append(rows, []any{s.Name, s.Variable, s.Unit, p.X, p.Median, fmt.Sprintf("%.2f", s.Spread()),
+			fmt.Sprintf("%.2f", f.Exponent), fmt.Sprintf("%.2f", f.ExponentError), fmt.Sprintf("%.3g", f.Slope), fmt.Sprintf("%.1g", f.SlopeError),
+			fmt.Sprintf("%.2f", f.Residual)})
+	}
+	return rows
+}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -22,6 +22,7 @@
 	{"two-phase", "the same mornings in one phase and in two, without failures and with", TwoPhase},
 	{"choices", "fleets of 30, 300 and 1,000 that know their place, beside the same without: at work, with hung and with cold nodes, with a zone lost; virtual time", Choices},
 	{"hand-over", "a new version takes over while half of the nodes are cold, with what the old one had learned and without; virtual time", HandOver},
+	{"capacity", "what a coordinator costs by nodes, coordinators, changes, open queries and connections: CPU time, bytes, memory, fitted; see docs/CAPACITY.md", Capacity},
 	{"overload", "a coordinator on two cores at 1, 2 and 3 times its traffic, and before slow nodes, with control and without", Overload},
 }
 
