Capacity experiment names the commit that is checked out

The run's JSON has to say on which commit it was taken. Build information has no revision in a worktree or under -buildvcs=false, so git is asked where the program runs.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -8,9 +8,10 @@
 	"fmt"
 	"math"
 	"os"
+	"os/exec"
 	"runtime"
-	"runtime/debug"
 	"slices"
+	"strings"
 )
 
 // Point is what was measured at one size.
@@ -135,19 +136,16 @@
 
 // describe notes what was run, and on what.
 func (r *Run) describe() {
-	r.Command, r.Go, r.Cores, r.Commit = "bin/lab run capacity", runtime.Version(), runtime.NumCPU(), "unknown"
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return
-	}
-	for _, s := range info.Settings {
-		switch {
-		case s.Key == "vcs.revision":
-			r.Commit = s.Value[:min(10, len(s.Value))]
-		case s.Key == "vcs.modified" && s.Value == "true":
-			r.Commit += " with changes"
-		}
+	r.Command, r.Go, r.Cores, r.Commit = "bin/lab run capacity", runtime.Version(), runtime.NumCPU(), commit()
+}
+
+// commit is the one that is checked out where the program runs, as far as git tells.
+func commit() string {
+	out, err := exec.Command("git", "describe", "--always", "--dirty", "--abbrev=10", "--exclude=*").Output()
+	if err != nil {
+		return "unknown"
 	}
+	return strings.TrimSpace(string(out))
 }
 
 // round keeps four digits, which is more than a repeat gives again.
