Capacity experiment: a constant series is fitted and written

A series that does not change with its size, such as the bytes of a renewal, had an undefined coefficient of determination, which JSON cannot hold: the run of 104 s ended without its file. The test at small size writes, reads and draws its run now.

--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -39,7 +39,9 @@
 	var f Fit
 	logFactor, exponent := stat.LinearRegression(logX, logY, nil, false)
 	f.Exponent, f.Factor = exponent, math.Exp(logFactor)
-	f.R2 = stat.RSquared(logX, logY, nil, logFactor, exponent)
+	if f.R2 = stat.RSquared(logX, logY, nil, logFactor, exponent); math.IsNaN(f.R2) {
+		f.R2 = 1 // a constant, which any line through it explains whole
+	}
 	f.ExponentError = slopeError(logX, logY, nil, logFactor, exponent)
 	f.Intercept, f.Slope = stat.LinearRegression(x, y, weights, false)
 	f.SlopeError = slopeError(x, y, weights, f.Intercept, f.Slope)
--- a/internal/capacity/shape_test.go
+++ b/internal/capacity/shape_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"path/filepath"
+	"reflect"
 	"testing"
 )
 
@@ -15,6 +17,16 @@
 	if len(r.Series) != len(Small().probes()) {
 		t.Errorf("%d series", len(r.Series))
 	}
+	path := filepath.Join(t.TempDir(), "run.json")
+	if err := r.Write(path); err != nil {
+		t.Fatal(err)
+	}
+	if again, err := Load(path); err != nil || !reflect.DeepEqual(again, r) {
+		t.Errorf("%v: the file holds another run", err)
+	}
+	if err := Plot(r, filepath.Join(t.TempDir(), "run.png")); err != nil {
+		t.Error(err)
+	}
 	for _, s := range r.Series {
 		if len(s.Points) < leastPoints {
 			t.Errorf("%s has %d points", s.Name, len(s.Points))
