--- /dev/null
+++ b/internal/distribution/call.go
@@ -0,0 +1,177 @@
+package distribution
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/textproto"
+	"strconv"
+	"time"
+
+	"harepass/internal/decide/replica"
+	"harepass/internal/decide/sources"
+	"harepass/internal/decide/versionlog"
+	"harepass/internal/http1"
+)
+
+const (
+	// behindGrace is how long a source may be behind before it is left: it may just be hearing of what the reader has.
+	behindGrace = 300 * time.Millisecond
+	// behindPause is between two calls to a source that is behind.
+	behindPause = 50 * time.Millisecond
+	// defaultBusy is how long a busy source is left alone that does not say for how long; longestBusy bounds what it says.
+	defaultBusy = 500 * time.Millisecond
+	longestBusy = 10 * time.Second
+)
+
+// busyError is an answer that the source has no capacity now.
+type busyError struct{ retryAfter time.Duration }
+
+func (e busyError) Error() string {
+	return fmt.Sprintf("distribution: the source is busy for %v", e.retryAfter)
+}
+
+// errStatus is returned for answers of another status than 200.
+var errStatus = errors.New("distribution: the source answered with a failure")
+
+// result is what came of a call. Where err is nil its answer has been taken.
+type result struct{ err error }
+
+// reason is why a source with this result is left.
+func (r result) reason() sources.Reason {
+	var protocol *http1.Error
+	var timeout net.Error
+	switch {
+	case errors.Is(r.err, replica.ErrBehind):
+		return sources.Behind
+	case errors.Is(r.err, replica.ErrInvalid), errors.Is(r.err, ErrInvalid), errors.As(r.err, &protocol):
+		return sources.Spoilt
+	case errors.Is(r.err, context.DeadlineExceeded), errors.As(r.err, &timeout) && timeout.Timeout():
+		return sources.Silent
+	}
+	return sources.Failed
+}
+
+// call asks for what is new and takes the answer.
+func (f *Follower) call(ctx context.Context, c *http1.Client, hold time.Duration) result {
+	limited, cancel := context.WithTimeout(ctx, f.cfg.Hold+f.cfg.Allowance)
+	defer cancel()
+	cursor, known := f.state.Cursor()
+	f.calls.Add(1)
+	answer, _, err := c.Do(limited, &http1.Message{Method: "GET", Target: target(f.cfg.Resource, cursor, known, hold),
+		Header: textproto.MIMEHeader{"Host": {c.Address}}})
+	if err == nil {
+		err = f.take(c.Address, answer)
+	} else if limited.Err() != nil && ctx.Err() == nil {
+		err = fmt.Errorf("%w: %w", context.DeadlineExceeded, err)
+	}
+	if err != nil {
+		f.failures.Add(1)
+	}
+	return result{err}
+}
+
+// take checks an answer and hands it to the consumer.
+func (f *Follower) take(source string, m *http1.Message) error {
+	switch m.Status {
+	case 200:
+	case 503:
+		return busyError{retryAfter(m)}
+	case 409:
+		return fmt.Errorf("%w: it says so", replica.ErrBehind)
+	default:
+		return fmt.Errorf("%w: status %d", errStatus, m.Status)
+	}
+	slice, err := decode(m.Body)
+	if err == nil && f.cfg.Check != nil {
+		if bad := f.cfg.Check(slice.Entries); bad != nil {
+			err = fmt.Errorf("%w: %w", ErrInvalid, bad)
+		}
+	}
+	if err != nil {
+		f.refused.Add(1)
+		return err
+	}
+	before, _ := f.state.Cursor()
+	change, err := f.state.Take(slice)
+	if err != nil {
+		f.refused.Add(1)
+		return err
+	}
+	news := slice.Version != before.Version || slice.Snapshot || change.Completed
+	f.more = news && slice.More()
+	f.note(slice, change, news)
+	if news {
+		f.cfg.Apply(Update{Slice: slice, Entries: change.Entries, Gone: change.Gone,
+			Completed: change.Completed, Whole: change.Whole, Source: source})
+	}
+	return nil
+}
+
+// note keeps the status and the counters.
+func (f *Follower) note(slice versionlog.Slice, change replica.Change, news bool) {
+	f.entries.Add(int64(len(change.Entries) + len(change.Gone)))
+	if news {
+		f.versions.Add(1)
+	}
+	if change.Completed {
+		f.snapshots.Add(1)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.status.Version, f.status.Known, f.status.Whole, f.status.Entries = slice.Version, true, change.Whole, f.state.Len()
+	if change.Whole && !slice.More() {
+		f.confirmed = time.Now()
+	}
+}
+
+// judge tells the selector what came of a call and tells whether the source is to be followed on.
+func (f *Follower) judge(ctx context.Context, c *http1.Client, r result) (stay bool) {
+	if r.err == nil {
+		f.behindSince = time.Time{}
+		f.selector.Served(f.now())
+		return true
+	}
+	if f.bearBehind(ctx, r) {
+		return true
+	}
+	var busy busyError
+	if errors.As(r.err, &busy) && !f.state.Whole() {
+		slog.Debug("source busy", "resource", f.cfg.Resource.Name(), "source", c.Address, "retry_after", busy.retryAfter)
+		f.selector.Busy(f.now(), busy.retryAfter)
+		return false
+	}
+	reason := r.reason()
+	slog.Info("source left", "resource", f.cfg.Resource.Name(), "source", c.Address, "reason", reason.String(), "err", r.err)
+	f.selector.Leave(f.now(), reason)
+	return false
+}
+
+// bearBehind waits a moment where the source is behind, and has not been so for long.
+func (f *Follower) bearBehind(ctx context.Context, r result) bool {
+	if r.reason() != sources.Behind {
+		return false
+	}
+	if f.behindSince.IsZero() {
+		f.behindSince = time.Now()
+	}
+	if time.Since(f.behindSince) >= behindGrace {
+		return false
+	}
+	sleep(ctx, behindPause)
+	return true
+}
+
+// behind tells whether the current source's last answer was older than the replica.
+func (f *Follower) behind() bool { return !f.behindSince.IsZero() }
+
+// retryAfter is the pause that a busy source asks for.
+func retryAfter(m *http1.Message) time.Duration {
+	seconds, err := strconv.ParseFloat(m.Header.Get("Retry-After"), 64)
+	if err != nil || !(seconds >= 0) {
+		return defaultBusy
+	}
+	return time.Duration(min(seconds, longestBusy.Seconds()) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/distribution/follower.go
@@ -0,0 +1,197 @@
+package distribution
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"harepass/internal/decide/replica"
+	"harepass/internal/decide/sources"
+	"harepass/internal/decide/versionlog"
+	"harepass/internal/http1"
+)
+
+// Config says what a Follower follows and who takes it.
+type Config struct {
+	Resource Resource
+	Own      sources.Place
+	Sources  []sources.Source // one at least
+
+	// Check finds what is wrong with an answer's entries before anything of it counts. nil finds nothing.
+	Check func([]versionlog.Entry) error
+	// Apply takes what has changed. It is called by Run's goroutine, one update after the other.
+	Apply func(Update)
+
+	Hold      time.Duration // the heartbeat; DefaultHold where it is 0
+	Allowance time.Duration // DefaultAllowance where it is 0
+	MaxBody   int           // bytes; DefaultMaxBody where it is 0
+
+	Known []string // names that the consumer has from elsewhere: it is told where the first snapshot does not hold them
+
+	// AnySnapshot takes every snapshot over, whatever its index is: for the one source of an authority, which is the
+	// discovery service and counts by an index of its own.
+	AnySnapshot bool
+
+	Dial http1.Dialer // nil for plain TCP
+	Rand *rand.Rand   // nil for one of its own
+}
+
+// Follower keeps a replica of one resource. Use New, then Run.
+type Follower struct {
+	cfg      Config
+	selector *sources.Selector // of Run alone, as state is
+	state    replica.State
+	began    time.Time
+	dial     http1.Dialer // counts bytes
+	more     bool         // the last answer brought news and told of more
+	// behindSince is when the current source's answers began to be older than the replica; zero while they are not.
+	behindSince time.Time
+
+	mu        sync.Mutex
+	status    Status
+	confirmed time.Time
+
+	calls, failures, bytesRead, bytesWritten atomic.Int64
+	versions, entries, snapshots             atomic.Int64
+	switches, refused                        atomic.Int64
+}
+
+// New returns a Follower that does nothing before Run.
+func New(cfg Config) *Follower {
+	if cfg.Hold == 0 {
+		cfg.Hold = DefaultHold
+	}
+	if cfg.Allowance == 0 {
+		cfg.Allowance = DefaultAllowance
+	}
+	if cfg.MaxBody == 0 {
+		cfg.MaxBody = DefaultMaxBody
+	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	now := time.Now()
+	f := &Follower{cfg: cfg, selector: sources.New(cfg.Own, cfg.Sources, cfg.Rand), began: now, confirmed: now}
+	f.state.AnySnapshot = cfg.AnySnapshot
+	f.state.Seed(cfg.Known)
+	f.dial = f.countBytes(cfg.Dial)
+	return f
+}
+
+// Status tells where the follower stands. It is for any goroutine.
+func (f *Follower) Status() Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.status
+	s.Age = time.Since(f.confirmed)
+	return s
+}
+
+// Counters tell what was done so far. It is for any goroutine.
+func (f *Follower) Counters() Counters {
+	return Counters{Calls: f.calls.Load(), Failures: f.failures.Load(),
+		BytesRead: f.bytesRead.Load(), BytesWritten: f.bytesWritten.Load(),
+		Versions: f.versions.Load(), Entries: f.entries.Load(), Snapshots: f.snapshots.Load(),
+		Switches: f.switches.Load(), Refused: f.refused.Load()}
+}
+
+// now is the time on the selector's clock.
+func (f *Follower) now() time.Duration { return time.Since(f.began) }
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		source, wait := f.selector.Next(f.now())
+		if wait > 0 {
+			sleep(ctx, wait)
+			continue
+		}
+		f.follow(ctx, source)
+	}
+}
+
+// follow follows a source, and nearer ones that it returns to, until one is to be left.
+func (f *Follower) follow(ctx context.Context, source sources.Source) {
+	c := f.client(source)
+	f.chosen(source)
+	defer func() { c.Close() }()
+	for first := true; ; first = false {
+		result := f.call(ctx, c, f.hold(first))
+		if ctx.Err() != nil {
+			return
+		}
+		if !f.judge(ctx, c, result) {
+			f.lost()
+			return
+		}
+		if nearer := f.returnTo(ctx); nearer != nil {
+			c.Close()
+			c = nearer
+		}
+	}
+}
+
+// hold is how long the next call may be held: a reader that has just come, or knows that there is more, does not wait.
+func (f *Follower) hold(first bool) time.Duration {
+	cursor, known := f.state.Cursor()
+	if first || !known || cursor.Base > 0 || f.more || f.behind() {
+		return noHold
+	}
+	return f.cfg.Hold
+}
+
+// noHold is the hold of a call that does not wait for news.
+const noHold = time.Millisecond
+
+func (f *Follower) client(source sources.Source) *http1.Client {
+	return &http1.Client{Address: source.Address, Dial: f.dial,
+		Limits: http1.Limits{Head: http1.DefaultLimits.Head, Body: f.cfg.MaxBody}}
+}
+
+// chosen notes the source that is followed from now on.
+func (f *Follower) chosen(source sources.Source) {
+	f.switches.Add(1)
+	f.behindSince = time.Time{}
+	f.mu.Lock()
+	f.status.Source = source.Address
+	f.mu.Unlock()
+	slog.Info("source chosen", "resource", f.cfg.Resource.Name(), "source", source.Address, "zone", source.Zone, "region", source.Region)
+}
+
+// lost notes that no source is followed.
+func (f *Follower) lost() {
+	f.mu.Lock()
+	f.status.Source = ""
+	f.mu.Unlock()
+}
+
+// returnTo tries a nearer source where there is one to try. It returns its client where it can be followed.
+func (f *Follower) returnTo(ctx context.Context) *http1.Client {
+	source, ok := f.selector.Nearer(f.now())
+	if !ok || !f.state.Whole() {
+		return nil
+	}
+	c := f.client(source)
+	result := f.call(ctx, c, noHold)
+	if result.err != nil {
+		c.Close()
+		f.selector.Stay(f.now(), result.reason())
+		return nil
+	}
+	f.selector.Return(f.now())
+	f.chosen(source)
+	f.selector.Served(f.now())
+	return c
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
