--- a/internal/decide/sources/sources.go
+++ b/internal/decide/sources/sources.go
@@ -55,7 +55,7 @@
 	// spread is over what time the readers of a lost source turn to their next ones.
 	spread = 100 * time.Millisecond
 	// returnSpread is over what time readers return to a nearer source.
-	returnSpread = 5 * time.Second
+	returnSpread = 3 * time.Second
 	// stable is how long a source has to serve until its failures are forgotten.
 	stable = 5 * time.Second
 	// patience is how long a source that is busy is waited for instead of going to one farther away.
--- a/internal/distribution/call.go
+++ b/internal/distribution/call.go
@@ -128,9 +128,12 @@
 }
 
 // judge tells the selector what came of a call and tells whether the source is to be followed on.
-func (f *Follower) judge(ctx context.Context, c *http1.Client, r result) (stay bool) {
+func (f *Follower) judge(ctx context.Context, source sources.Source, r result) (stay bool) {
 	if r.err == nil {
 		f.behindSince = time.Time{}
+		if !f.following {
+			f.answered(source)
+		}
 		f.selector.Served(f.now())
 		return true
 	}
@@ -139,12 +142,16 @@
 	}
 	var busy busyError
 	if errors.As(r.err, &busy) && !f.state.Whole() {
-		slog.Debug("source busy", "resource", f.cfg.Resource.Name(), "source", c.Address, "retry_after", busy.retryAfter)
+		slog.Debug("source busy", "resource", f.cfg.Resource.Name(), "source", source.Address, "retry_after", busy.retryAfter)
 		f.selector.Busy(f.now(), busy.retryAfter)
 		return false
 	}
 	reason := r.reason()
-	slog.Info("source left", "resource", f.cfg.Resource.Name(), "source", c.Address, "reason", reason.String(), "err", r.err)
+	level := slog.LevelDebug // it may be tried for hours
+	if f.following {
+		level = slog.LevelInfo
+	}
+	slog.Log(ctx, level, "source left", "resource", f.cfg.Resource.Name(), "source", source.Address, "reason", reason.String(), "err", r.err)
 	f.selector.Leave(f.now(), reason)
 	return false
 }
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -58,7 +58,7 @@
 	Whole   bool          // the replica is the log's state at Version
 	Entries int           // held
 	Age     time.Duration // since a source last confirmed that Version is its newest; since the start before that
-	Source  string        // the address that is followed; empty for none
+	Source  string        // the address that is followed; empty where none answers
 }
 
 // Counters count since the start.
@@ -70,6 +70,6 @@
 	Versions     int64 // answers with a newer version
 	Entries      int64 // changed or removed
 	Snapshots    int64 // completed
-	Switches     int64 // sources chosen, the first one included
+	Switches     int64 // sources followed, the first one included
 	Refused      int64 // answers that were not taken: behind or spoilt
 }
--- a/internal/distribution/follower.go
+++ b/internal/distribution/follower.go
@@ -41,12 +41,13 @@
 
 // Follower keeps a replica of one resource. Use New, then Run.
 type Follower struct {
-	cfg      Config
-	selector *sources.Selector // of Run alone, as state is
-	state    replica.State
-	began    time.Time
-	dial     http1.Dialer // counts bytes
-	more     bool         // the last answer brought news and told of more
+	cfg       Config
+	selector  *sources.Selector // of Run alone, as state is
+	state     replica.State
+	began     time.Time
+	dial      http1.Dialer // counts bytes
+	more      bool         // the last answer brought news and told of more
+	following bool         // the current source has given a good answer
 	// behindSince is when the current source's answers began to be older than the replica; zero while they are not.
 	behindSince time.Time
 
@@ -116,20 +117,19 @@
 // follow follows a source, and nearer ones that it returns to, until one is to be left.
 func (f *Follower) follow(ctx context.Context, source sources.Source) {
 	c := f.client(source)
-	f.chosen(source)
 	defer func() { c.Close() }()
+	defer f.left()
 	for first := true; ; first = false {
 		result := f.call(ctx, c, f.hold(first))
 		if ctx.Err() != nil {
 			return
 		}
-		if !f.judge(ctx, c, result) {
-			f.lost()
+		if !f.judge(ctx, source, result) {
 			return
 		}
-		if nearer := f.returnTo(ctx); nearer != nil {
+		if nearer, client := f.returnTo(ctx); client != nil {
 			c.Close()
-			c = nearer
+			source, c = nearer, client
 		}
 	}
 }
@@ -151,40 +151,40 @@
 		Limits: http1.Limits{Head: http1.DefaultLimits.Head, Body: f.cfg.MaxBody}}
 }
 
-// chosen notes the source that is followed from now on.
-func (f *Follower) chosen(source sources.Source) {
+// answered notes the first good answer of a source that has been chosen.
+func (f *Follower) answered(source sources.Source) {
+	f.following = true
 	f.switches.Add(1)
-	f.behindSince = time.Time{}
 	f.mu.Lock()
 	f.status.Source = source.Address
 	f.mu.Unlock()
-	slog.Info("source chosen", "resource", f.cfg.Resource.Name(), "source", source.Address, "zone", source.Zone, "region", source.Region)
+	slog.Info("source followed", "resource", f.cfg.Resource.Name(), "source", source.Address, "zone", source.Zone, "region", source.Region)
 }
 
-// lost notes that no source is followed.
-func (f *Follower) lost() {
+// left notes that no source is followed.
+func (f *Follower) left() {
+	f.following, f.behindSince = false, time.Time{}
 	f.mu.Lock()
 	f.status.Source = ""
 	f.mu.Unlock()
 }
 
-// returnTo tries a nearer source where there is one to try. It returns its client where it can be followed.
-func (f *Follower) returnTo(ctx context.Context) *http1.Client {
+// returnTo tries a nearer source where there is one to try. It returns that with its client where it can be followed.
+func (f *Follower) returnTo(ctx context.Context) (sources.Source, *http1.Client) {
 	source, ok := f.selector.Nearer(f.now())
 	if !ok || !f.state.Whole() {
-		return nil
+		return source, nil
 	}
 	c := f.client(source)
-	result := f.call(ctx, c, noHold)
-	if result.err != nil {
+	if result := f.call(ctx, c, noHold); result.err != nil {
 		c.Close()
 		f.selector.Stay(f.now(), result.reason())
-		return nil
+		return source, nil
 	}
 	f.selector.Return(f.now())
-	f.chosen(source)
 	f.selector.Served(f.now())
-	return c
+	f.answered(source)
+	return source, c
 }
 
 func sleep(ctx context.Context, d time.Duration) {
