--- a/internal/core/begin_test.go
+++ b/internal/core/begin_test.go
@@ -37,7 +37,7 @@
 		"out by hand": {func(r *rig, _ *Query, at *Attempt) {
 			b := maintenance.Book{}
 			b.Call(at.Node, maintenance.Entry{Out: true, At: r.clock})
-			r.Outages(b)
+			r.Maintenance(b)
 		}, true},
 		"its client has left":      {func(r *rig, q *Query, _ *Attempt) { r.Gone(q) }, false},
 		"its client's time passes": {func(r *rig, _ *Query, _ *Attempt) { r.pass(4 * time.Second) }, false},
--- a/internal/core/outages.go
+++ b/internal/core/maintenance.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"maps"
 	"slices"
 
 	"harepass"
@@ -11,9 +10,9 @@
 
 // This file is the owner's part in nodes that operators have taken out: the module hears of the list as the book tells it.
 
-// Outages brings the book as it is from now on. It does not wait, be the owner's queue as long as it may.
-func (o *Owner) Outages(b maintenance.Book) {
-	o.outages.Store(&b)
+// Maintenance brings the book as it is from now on. It does not wait, be the owner's queue as long as it may.
+func (o *Owner) Maintenance(b maintenance.Book) {
+	o.books.Store(&b)
 	select {
 	case o.news <- struct{}{}:
 	default:
@@ -40,7 +39,7 @@
 
 // heed takes over the latest book, before all else in a turn.
 func (o *Owner) heed() {
-	b := o.outages.Load()
+	b := o.books.Load()
 	if b == nil || b == o.heeded {
 		return
 	}
@@ -51,26 +50,6 @@
 	o.warnBare()
 }
 
-// replicas is the whole list as the module is to hear it.
-func (o *Owner) replicas() (list []harepass.Replica) {
-	for _, id := range slices.Sorted(maps.Keys(o.nodes)) {
-		list = append(list, o.book.Told(o.nodes[id].Replica))
-	}
-	return list
-}
-
-// noteList makes the list known to other goroutines.
-func (o *Owner) noteList() {
-	known := make(map[string]struct{}, len(o.nodes))
-	for id := range o.nodes {
-		known[id] = struct{}{}
-	}
-	o.known.Store(&known)
-	if len(o.book) > 0 {
-		o.warnBare()
-	}
-}
-
 // warnBare logs which sections have lost all holders by hand, when that changes. They stay lost: the rule holds.
 func (o *Owner) warnBare() {
 	var list []harepass.Replica
--- a/internal/core/outages_test.go
+++ b/internal/core/maintenance_test.go
@@ -39,7 +39,7 @@
 	book := maintenance.Book{}
 	call := func(out bool) {
 		book = maintenance.Book{"a": {Out: out, At: r.clock, From: book["a"].At}}
-		r.Outages(book)
+		r.Maintenance(book)
 		r.pass(0)
 	}
 	only := func(what, want string) {
@@ -79,11 +79,11 @@
 }
 
 // What asks the owner waits for no query: the book is heeded first in the very next turn, however many are queued.
-func TestOutagesComeBeforeTheQueue(t *testing.T) {
+func TestMaintenanceComesBeforeTheQueue(t *testing.T) {
 	r := newRig(t, nil)
 	for r.Submit(r.query("free", 0)) {
 	}
-	r.Outages(maintenance.Book{"a": {Out: true, At: r.clock}})
+	r.Maintenance(maintenance.Book{"a": {Out: true, At: r.clock}})
 	r.turn()
 	if len(r.hand.calls) != 0 {
 		t.Errorf("%d calls to a node that was out before the turn", len(r.hand.calls))
@@ -97,7 +97,7 @@
 		c.Limits.Shards = 1
 		c.Log = slog.New(slog.NewTextHandler(&log, nil))
 	})
-	r.Outages(maintenance.Book{"a": {Out: true, At: r.clock}})
+	r.Maintenance(maintenance.Book{"a": {Out: true, At: r.clock}})
 	r.pass(0)
 	r.Listed("test", harepass.ListChanges, []Node{{Replica: harepass.Replica{ID: "a"}, Address: "a", Scheme: "hand"}})
 	r.pass(0)
--- a/internal/core/phase.go
+++ b/internal/core/phase.go
@@ -28,7 +28,10 @@
 	<-o.done
 }
 
-type stopping struct{}
+type (
+	draining struct{}
+	stopping struct{}
+)
 
 // apply also bounds the time of what is taken from now on, for the end is near.
 func (draining) apply(o *Owner) {
--- a/internal/operator/register.go
+++ b/internal/operator/register.go
@@ -29,7 +29,7 @@
 
 // Owner is what the register tells; none of it blocks.
 type Owner interface {
-	Outages(maintenance.Book)
+	Maintenance(maintenance.Book)
 	Knows(id string) bool
 	Serving() error // why it does not
 	Shared(bool)    // whether another process of the coordinator serves beside it, so that limits hold for both
@@ -194,7 +194,7 @@
 }
 
 // tell is called under the lock, so that the owner hears of the book's states in order.
-func (r *Register) tell() { r.Owner.Outages(maps.Clone(r.mine.Book)) }
+func (r *Register) tell() { r.Owner.Maintenance(maps.Clone(r.mine.Book)) }
 
 // Status implements Desk.
 func (r *Register) Status() error { return r.Owner.Serving() }
--- a/internal/operator/register_test.go
+++ b/internal/operator/register_test.go
@@ -28,7 +28,7 @@
 	shared []bool
 }
 
-func (o *owner) Outages(b maintenance.Book) {
+func (o *owner) Maintenance(b maintenance.Book) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.book = b
