Coordinators take nodes and settings from relays; a list's change costs what it holds

With deploy/distribution.yaml (or -distribution FILE) serve follows relays for the node list in place of discovery, and for settings, which are put in force whole by the path of a reload or refused with one line. Without the file nothing changes. Tests of cmd/harepass, platform, operator, core and backoff pass; in theirs only the renamed type and field changed.

--- a/cmd/harepass/config.go
+++ b/cmd/harepass/config.go
@@ -85,6 +85,8 @@
 	hosts      []core.Node
 	searchPath string
 	overload   *overloadFile // nil where overload control is off
+
+	distribution *distributionFile // nil where no relay gives out nodes or settings
 }
 
 // defaultSearch is the OpenSearch front's file; that front is off where it is missing.
@@ -112,6 +114,12 @@
 	if err == nil {
 		s.overload, err = loadOverload(paths.overload, s.limits)
 	}
+	if err == nil {
+		s.distribution, err = loadDistribution(paths.distribution)
+	}
+	if err == nil && s.distribution != nil && s.config == nil {
+		err = errors.New(paths.distribution + ": distribution needs PROXY_CONFIG")
+	}
 	return s, err
 }
 
--- a/cmd/harepass/reload.go
+++ b/cmd/harepass/reload.go
@@ -28,9 +28,18 @@
 		}
 		return os.Getenv(name)
 	})
+	if err == nil && p.distributedSettings {
+		slog.Info("the file's settings are passed over: those that relays gave out are in force")
+		next, err = next.withSettings(p.config.Settings)
+	}
 	if err != nil {
 		return err
 	}
+	return p.adopt(next)
+}
+
+// adopt puts a configuration in the place of the one in force: whole, or not at all with an error.
+func (p *program) adopt(next *setup) error {
 	changes, err := p.replacedBy(next)
 	if err != nil {
 		return err
@@ -45,7 +54,7 @@
 	if p.watch != nil {
 		p.watch.Reclass(p.settings)
 	}
-	if next.config.Discovery != p.config.Discovery {
+	if p.disc != nil && next.config.Discovery != p.config.Discovery {
 		p.disc.Move(next.config.Discovery)
 	}
 	if !next.config.sameBut(p.config) {
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
@@ -18,12 +17,9 @@
 
 	"harepass"
 	"harepass/internal/core"
-	"harepass/internal/decide/backoff"
-	"harepass/internal/decide/twophase"
 	"harepass/internal/guard"
 	"harepass/internal/http1"
 	"harepass/internal/inventory"
-	"harepass/internal/opensearch"
 	"harepass/internal/operator"
 	"harepass/internal/platform"
 )
@@ -42,6 +38,7 @@
 // files are those of the operators that serve and check read.
 type files struct {
 	search, overload string
+	distribution     string
 	trace            bool
 	against          string
 }
@@ -51,6 +48,7 @@
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	fs.StringVar(&f.search, "opensearch", defaultSearch, "the OpenSearch front's file; the front is off where the default is missing")
 	fs.StringVar(&f.overload, "overload", defaultOverload, "the file of overload control, which is off where the default is missing")
+	fs.StringVar(&f.distribution, "distribution", defaultDistribution, "the file of the relays that give out nodes and settings; they are not used where the default is missing")
 	if name == "serve" {
 		fs.BoolVar(&f.trace, "trace", false, "write each query, attempt, connection and list call to the log; for a look, not for service")
 	}
@@ -93,6 +91,9 @@
 	if s.overload != nil {
 		fmt.Fprintf(out, "overload control: loop delay %v, %d MB\n", s.overload.LoopDelay, s.overload.MemoryMB)
 	}
+	if d := s.distribution; d != nil {
+		fmt.Fprintf(out, "distribution: %s from %d relays, zone %q of region %q\n", strings.Join(d.Resources, ", "), len(d.Sources), d.Zone, d.Region)
+	}
 	if s.inventory != nil {
 		fmt.Fprintf(out, "inventory: %s, %d hosts\n", s.inventory.Path, len(s.hosts))
 	}
@@ -105,13 +106,17 @@
 	*setup
 	clock   core.Clock
 	owner   *core.Owner
-	disc    *platform.Discovery // nil without the platform
+	disc    *platform.Discovery // nil without the platform, and where relays give out the nodes
 	closers []func()
 	servers []*http1.Server
 	listens []net.Listener
 	staff   *operator.Register // nil where operators have no door
 	frames  *platform.Nodes
 	watch   *guard.Guard // nil where overload control is off
+
+	distributed         *platform.Distributed // nil where discovery gives out the nodes
+	settingsUpdates     <-chan settingsUpdate // nil where no relay gives out settings
+	distributedSettings bool                  // those in force came from a relay
 }
 
 func serve(args []string, out io.Writer) error {
@@ -144,7 +149,8 @@
 	return nil
 }
 
-// obey reads the files again at each of some signals until one of the others comes, which goes first.
+// obey reads the files again at each of some signals, and takes over the settings that relays give out, until one of the
+// other signals comes, which goes first.
 func (p *program) obey(ends, again <-chan os.Signal) {
 	for {
 		select {
@@ -157,99 +163,12 @@
 			return
 		case <-again:
 			p.reload()
+		case u := <-p.settingsUpdates:
+			p.takeSettings(u)
 		}
 	}
 }
 
-// start builds the owner with its callers and fronts and sets all going.
-func (p *program) start(ctx context.Context) error {
-	frames := &platform.Nodes{Streams: p.caps.Streams, Most: p.limits.nodes(), ConnectTimeout: p.caps.ConnectTimeout,
-		Quiet: p.quietTime(), KeepAlive: p.caps.KeepAlive}
-	p.frames = frames
-	cfg := core.Config{Seed: p.seed, Settings: p.settings, Limits: p.coreLimits(), Clock: p.clock,
-		Callers: map[string]core.Caller{platform.Scheme: frames}, Subscribe: func() {}, Asked: inventory.Source}
-	p.closers = append(p.closers, frames.Close)
-	if p.overload != nil {
-		p.watch = guard.New(p.overload.control(p.settings, p.limits, p.config != nil), p.clock)
-		cfg.Gate = p.watch
-	}
-	var api *opensearch.Nodes
-	if p.search != nil {
-		frames.Most = max(1, frames.Most/2)
-		api = &opensearch.Nodes{Config: p.search, Most: frames.Most, ConnectTimeout: p.caps.ConnectTimeout, KeepAlive: p.caps.KeepAlive}
-		cfg.Callers[opensearch.Scheme] = api
-		if cfg.Firsts = p.search.Firsts(); len(cfg.Firsts) > 0 {
-			cfg.Retained, cfg.Schemes = p.limits.retained(), map[string]bool{opensearch.Scheme: true}
-			cfg.Planner = twophase.New(cfg.Retained)
-		}
-		p.closers = append(p.closers, api.Close)
-	}
-	if p.config != nil {
-		known := p.takeOver()
-		p.disc = platform.NewDiscovery(p.config.Discovery, known)
-		p.disc.Pace = &backoff.Pace{Fleet: p.settings.Roots, Told: p.settings.ListMaxAge, Pushed: p.pushed, Rand: rand.New(rand.NewPCG(p.seed, 0x70616365))}
-		cfg.Subscribe, cfg.Asked = p.disc.Subscribe, platform.Source
-		if p.staff != nil {
-			cfg.Recalled = p.staff.Recalled
-		}
-	}
-	owner, err := core.New(cfg)
-	if err != nil {
-		return usageError{err}
-	}
-	p.owner, frames.Owner = owner, owner
-	if p.inventory != nil {
-		owner.Listed(inventory.Source, harepass.ListFull, p.hosts)
-	}
-	if p.config != nil {
-		owner.Listed(platform.Source, harepass.ListRemembered, p.known)
-	}
-	if p.staff != nil {
-		if m, ok := p.staff.Learned(); ok {
-			owner.Remember(m)
-		}
-		if err := p.openDoor(ctx); err != nil {
-			return err
-		}
-	}
-	go owner.Run() // its first turn has the lists and who is out of them
-	if p.watch != nil {
-		p.watch.Squeeze, p.watch.Turning, p.watch.Descriptors = owner.Squeeze, owner.Turning, p.descriptors
-		go p.watch.Run(ctx)
-	}
-	if p.search != nil {
-		api.Owner = owner
-		front := &opensearch.Front{Config: p.search, Owner: owner, Clock: p.clock, Version: version}
-		if err := p.listen(p.search.Listen, &http1.Server{Handler: front.Handle, Fault: opensearch.Fault,
-			Limits: http1.Limits{Head: http1.DefaultLimits.Head, Body: apiBody}}); err != nil {
-			return err
-		}
-	}
-	if p.config != nil {
-		p.disc.Listed = func(scope harepass.ListScope, nodes []core.Node) { owner.Listed(platform.Source, scope, nodes) }
-		go p.disc.Run(ctx)
-		front := &platform.Front{Owner: owner, Clock: p.clock}
-		if err := p.listen(p.config.Listen, &http1.Server{Handler: front.Handle, Limits: http1.DefaultLimits}); err != nil {
-			return err
-		}
-	}
-	for _, s := range p.servers {
-		s.Conns = max(1, p.clients()/len(p.servers))
-		s.Room = func() int { return max(1, p.room()/len(p.servers)) }
-		s.Idle = max(1, p.limits.idle()/len(p.servers))
-	}
-	frames.Opening(p.makeRoom)
-	for i, s := range p.servers {
-		go func() {
-			if p.socket > 0 { // who knocks meanwhile waits, or is another process's
-				<-owner.Started()
-			}
-			s.Serve(p.listens[i])
-		}()
-	}
-	return nil
-}
-
 // clients is how many connections clients may hold; the operators' door has its own beside them.
 func (p *program) clients() int {
 	if p.staff != nil {
--- a/cmd/harepass/upgrade.go
+++ b/cmd/harepass/upgrade.go
@@ -62,13 +62,11 @@
 		return fmt.Errorf("operators' door: %w", err)
 	}
 	p.staff.Owner = p.owner
-	p.disc.Kept = func(address string, whole platform.List) {
+	kept := p.keepList(p.staff.ListChanged)
+	p.staff.List = func() (string, json.RawMessage, error) {
+		address, whole := kept.Whole()
 		data, err := json.Marshal(whole)
-		if err != nil {
-			slog.Error("list not kept", "err", err)
-			return
-		}
-		p.staff.Listed(address, data)
+		return address, data, err
 	}
 	p.staff.Publish()
 	go p.staff.Run(ctx)
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -22,15 +22,22 @@
 }
 
 type listed struct {
-	source string
-	scope  harepass.ListScope
-	nodes  []Node
+	source  string
+	scope   harepass.ListScope
+	nodes   []Node
+	partial bool // further slices follow before the list is whole
 }
 
 // Listed brings a source's list of nodes, its changes, or the news that it could not be had. A full list
 // takes away only what the same source had named.
 func (o *Owner) Listed(source string, scope harepass.ListScope, nodes []Node) {
-	o.post(listed{source, scope, nodes})
+	o.post(listed{source: source, scope: scope, nodes: nodes})
+}
+
+// ListedPart brings entries of a source's first list, of which further ones follow. They count at once, but the owner is
+// not ready by them: Listed with the last ones makes it so.
+func (o *Owner) ListedPart(source string, nodes []Node) {
+	o.post(listed{source: source, scope: harepass.ListChanges, nodes: nodes, partial: true})
 }
 
 // apply merges the sources. The module takes a list, its changes or a refusal for an answer to its own
@@ -70,6 +77,9 @@
 	o.withholdLeaving()
 	o.noteList()
 	clear(o.ables)
+	if m.partial {
+		return
+	}
 	o.list = o.list || m.scope != harepass.ListRemembered && m.source == o.cfg.Asked
 	o.presume()
 }
--- a/internal/decide/backoff/backoff.go
+++ b/internal/decide/backoff/backoff.go
@@ -35,8 +35,8 @@
 	widest = 8
 )
 
-// Pace is for one coordinator of Fleet.
-type Pace struct {
+// Schedule is for one coordinator of Fleet.
+type Schedule struct {
 	Fleet  int
 	Told   time.Duration // one that has not asked for so long is taken to know the list all the same; 0 where that is not so
 	Pushed bool          // lists are pushed, to an agent of this coordinator's own
@@ -48,7 +48,7 @@
 }
 
 // First is how long to wait before the first call of a process that has something to go on with.
-func (p *Pace) First() time.Duration {
+func (p *Schedule) First() time.Duration {
 	if p.Pushed {
 		return 0
 	}
@@ -57,7 +57,7 @@
 
 // Lost is how long to wait before a watch that has fallen silent or was broken is opened anew. It says nothing of the
 // service: other watches stand, or have been lost together with this one.
-func (p *Pace) Lost() time.Duration {
+func (p *Schedule) Lost() time.Duration {
 	if p.Pushed {
 		return agentPause
 	}
@@ -65,7 +65,7 @@
 }
 
 // Failed notes that a call has failed after so long and returns how long to wait before the next.
-func (p *Pace) Failed(took time.Duration) time.Duration {
+func (p *Schedule) Failed(took time.Duration) time.Duration {
 	if p.Pushed {
 		return agentPause
 	}
@@ -81,15 +81,15 @@
 }
 
 // Served notes that a call was answered.
-func (p *Pace) Served() { p.wide, p.moved = 0, false }
+func (p *Schedule) Served() { p.wide, p.moved = 0, false }
 
 // Move notes that another service is asked from now on, of which nothing is known.
-func (p *Pace) Move() { p.wide, p.patience, p.moved = 0, 0, true }
+func (p *Schedule) Move() { p.wide, p.patience, p.moved = 0, 0, true }
 
 // within cuts a span to what is left of the time in which changes bind, where the service can hear the whole fleet in half
 // of that: who was heard asks no more, so the others get through. Where it cannot, calls that come all the same would fail
 // each other, and nobody would be heard: then they are spread as far as the fleet needs and is allowed.
-func (p *Pace) within(span, inTime, allowed time.Duration) time.Duration {
+func (p *Schedule) within(span, inTime, allowed time.Duration) time.Duration {
 	switch {
 	case p.span(1) <= Binds/2:
 		return min(span, inTime)
@@ -100,10 +100,10 @@
 }
 
 // span is so many turns of the whole fleet.
-func (p *Pace) span(times int) time.Duration { return time.Duration(times*p.Fleet) * turn }
+func (p *Schedule) span(times int) time.Duration { return time.Duration(times*p.Fleet) * turn }
 
 // queue is how much of the service's time may be asked for at once.
-func (p *Pace) queue() time.Duration {
+func (p *Schedule) queue() time.Duration {
 	if p.patience > 0 {
 		return scale(p.patience, queue)
 	}
@@ -111,6 +111,8 @@
 }
 
 // draw is a moment in a span.
-func (p *Pace) draw(span time.Duration) time.Duration { return scale(max(0, span), p.Rand.Float64()) }
+func (p *Schedule) draw(span time.Duration) time.Duration {
+	return scale(max(0, span), p.Rand.Float64())
+}
 
 func scale(d time.Duration, f float64) time.Duration { return time.Duration(f * float64(d)) }
--- a/internal/decide/backoff/backoff_test.go
+++ b/internal/decide/backoff/backoff_test.go
@@ -22,11 +22,11 @@
 
 // play lets a fleet ask for its list in one instant, at a service that takes calls in turn, fails what has waited
 // for two seconds, spends its time on that all the same, and is down until up.
-func play(fleet int, cost, up time.Duration, first func(*Pace) time.Duration, failed func(*Pace, time.Duration) time.Duration) (made, had int, last time.Duration) {
-	var paces []*Pace
+func play(fleet int, cost, up time.Duration, first func(*Schedule) time.Duration, failed func(*Schedule, time.Duration) time.Duration) (made, had int, last time.Duration) {
+	var paces []*Schedule
 	var due calls
 	for i := range fleet {
-		paces = append(paces, &Pace{Fleet: fleet, Rand: rand.New(rand.NewPCG(uint64(i), 1))})
+		paces = append(paces, &Schedule{Fleet: fleet, Rand: rand.New(rand.NewPCG(uint64(i), 1))})
 		heap.Push(&due, call{first(paces[i]), i})
 	}
 	free := up
@@ -52,7 +52,7 @@
 // The whole fleet has its list soon after a common start or failure, with few calls that fail; asked together, as
 // before, those that wait too long keep the service busy for nothing, and nobody gets through any more.
 func TestFleetHasItsList(t *testing.T) {
-	paced := (*Pace).Failed
+	paced := (*Schedule).Failed
 	for _, c := range []struct {
 		fleet          int
 		cost, up, late time.Duration
@@ -66,13 +66,13 @@
 		{300, 20 * time.Millisecond, 0, 31 * time.Second, 1.1, 300},
 		{3, 66 * time.Millisecond, 0, time.Second, 1, 3},
 	} {
-		made, had, last := play(c.fleet, c.cost, c.up, (*Pace).First, paced)
+		made, had, last := play(c.fleet, c.cost, c.up, (*Schedule).First, paced)
 		if had < c.had || last > c.late+2*time.Second || float64(made) > c.calls*float64(c.fleet) {
 			t.Errorf("%d at %v: %d calls, %d had it, the last after %v", c.fleet, c.cost, made, had, last)
 		}
 	}
-	at := func(*Pace) time.Duration { return 0 }
-	short := func(p *Pace, _ time.Duration) time.Duration {
+	at := func(*Schedule) time.Duration { return 0 }
+	short := func(p *Schedule, _ time.Duration) time.Duration {
 		return time.Duration((0.25 + 0.5*p.Rand.Float64()) * float64(time.Second))
 	}
 	if made, had, _ := play(80, 66*time.Millisecond, 0, at, short); had > 60 {
@@ -83,7 +83,7 @@
 // One coordinator, or a few, wait for nobody; after a failure just long enough not to ask without end.
 func TestFewDoNotWait(t *testing.T) {
 	for fleet := range 5 {
-		p := &Pace{Fleet: fleet, Rand: rand.New(rand.NewPCG(7, 7))}
+		p := &Schedule{Fleet: fleet, Rand: rand.New(rand.NewPCG(7, 7))}
 		if d := p.First(); d != 0 {
 			t.Errorf("%d coordinators: the first waits %v", fleet, d)
 		}
@@ -101,7 +101,7 @@
 	for _, fleet := range []int{80, 300, 2000} {
 		firsts := [10]int{}
 		for i := range fleet {
-			p := &Pace{Fleet: fleet, Told: told, Rand: rand.New(rand.NewPCG(uint64(i), 2))}
+			p := &Schedule{Fleet: fleet, Told: told, Rand: rand.New(rand.NewPCG(uint64(i), 2))}
 			first := p.First()
 			if first >= told/2 {
 				t.Fatalf("one of %d calls first after %v", fleet, first)
@@ -119,8 +119,8 @@
 			}
 		}
 	}
-	made, had, last := play(300, 10*time.Millisecond, 0, func(p *Pace) time.Duration { p.Told = told; return p.First() },
-		func(p *Pace, took time.Duration) time.Duration { return p.Failed(took) })
+	made, had, last := play(300, 10*time.Millisecond, 0, func(p *Schedule) time.Duration { p.Told = told; return p.First() },
+		func(p *Schedule, took time.Duration) time.Duration { return p.Failed(took) })
 	if had != 300 || made > 310 || last > told/2+2*time.Second {
 		t.Errorf("300: %d calls, %d had it, the last after %v", made, had, last)
 	}
@@ -131,7 +131,7 @@
 func TestSmallFleetsAreHeardInTime(t *testing.T) {
 	for _, fleet := range []int{6, 20, 30} {
 		for _, up := range []time.Duration{0, 3 * time.Second, 8 * time.Second} {
-			_, had, last := play(fleet, 100*time.Millisecond, up, (*Pace).Lost, (*Pace).Failed)
+			_, had, last := play(fleet, 100*time.Millisecond, up, (*Schedule).Lost, (*Schedule).Failed)
 			if had != fleet || last-up >= Binds {
 				t.Errorf("%d: %d had it, the last %v after discovery was back", fleet, had, last-up)
 			}
@@ -143,7 +143,7 @@
 // anew within Spread, and not by all together.
 func TestLostWatchIsOpenedAnew(t *testing.T) {
 	for _, fleet := range []int{1, 80, 300} {
-		p := &Pace{Fleet: fleet, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(uint64(fleet), 3))}
+		p := &Schedule{Fleet: fleet, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(uint64(fleet), 3))}
 		sum := time.Duration(0)
 		for range 100 {
 			d := p.Lost()
@@ -169,7 +169,7 @@
 		t.Errorf("a service that a reload names is heard of after %v", sum)
 	}
 	for _, fleet := range []int{1, 6, 20, 30} { // whom a service of 0.1 s a call can hear in time
-		p := &Pace{Fleet: fleet, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(uint64(fleet), 5))}
+		p := &Schedule{Fleet: fleet, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(uint64(fleet), 5))}
 		for i := range 200 {
 			if d := p.Failed(time.Duration(i%3) * time.Second); d < again || d >= Spread {
 				t.Fatalf("one of %d asks again after %v", fleet, d)
@@ -186,13 +186,13 @@
 // What a service lets wait is told nowhere: it is learned from the calls that it fails, and one of half the patience is not
 // asked for as much at once. An agent of a coordinator's own is not waited for.
 func TestLearnsThePatience(t *testing.T) {
-	pause := func(p *Pace) (most time.Duration) {
+	pause := func(p *Schedule) (most time.Duration) {
 		for range 200 {
 			most = max(most, p.First())
 		}
 		return most
 	}
-	p := &Pace{Fleet: 20, Rand: rand.New(rand.NewPCG(1, 6))}
+	p := &Schedule{Fleet: 20, Rand: rand.New(rand.NewPCG(1, 6))}
 	assumed := pause(p)
 	p.Failed(400 * time.Millisecond)
 	learned := pause(p)
@@ -204,7 +204,7 @@
 	if d := pause(p); d < learned*9/10 || d > learned*11/10 {
 		t.Errorf("the lower patience is forgotten: %v, then %v", learned, d)
 	}
-	if p = (&Pace{Fleet: 300, Pushed: true, Rand: p.Rand}); p.First() > 0 || p.Lost() > 100*time.Millisecond || p.Failed(time.Second) > 100*time.Millisecond || p.Answer() > 300*time.Millisecond {
+	if p = (&Schedule{Fleet: 300, Pushed: true, Rand: p.Rand}); p.First() > 0 || p.Lost() > 100*time.Millisecond || p.Failed(time.Second) > 100*time.Millisecond || p.Answer() > 300*time.Millisecond {
 		t.Error("an agent of its own is waited for")
 	}
 }
--- a/internal/decide/backoff/told.go
+++ b/internal/decide/backoff/told.go
@@ -39,7 +39,7 @@
 )
 
 // Answer is how long to wait for a call that does not wait for news.
-func (p *Pace) Answer() time.Duration {
+func (p *Schedule) Answer() time.Duration {
 	switch {
 	case p.Pushed:
 		return agentAnswer
@@ -50,7 +50,7 @@
 }
 
 // spread is the most time over which a fleet asks that lost discovery together.
-func (p *Pace) spread() time.Duration {
+func (p *Schedule) spread() time.Duration {
 	if p.moved {
 		return movedSpread
 	}
--- a/internal/decide/sources/sources.go
+++ b/internal/decide/sources/sources.go
@@ -183,13 +183,14 @@
 	s.notBefore = now + s.draw(spread)
 }
 
-// Busy gives the current source up because it has no capacity for this reader; it said when to ask again.
+// Busy gives the current source up because it has no capacity for this reader; it said when to ask again, and has spread
+// these times over the readers that it refused.
 func (s *Selector) Busy(now, retryAfter time.Duration) {
 	c := &s.candidates[s.current]
 	if !c.busy {
 		c.busy, c.busySince = true, now
 	}
-	c.retryAt = now + retryAfter + s.draw(retryAfter/2)
+	c.retryAt = now + retryAfter
 	c.returnAt = c.retryAt + s.draw(returnSpread)
 	s.current = none
 }
--- a/internal/distribution/call.go
+++ b/internal/distribution/call.go
@@ -102,7 +102,7 @@
 	}
 	news := slice.Version != before.Version || slice.Snapshot || change.Completed
 	f.more = news && slice.More()
-	f.note(slice, change, news)
+	f.note(slice, change, news, ageOf(m))
 	if news {
 		f.cfg.Apply(Update{Slice: slice, Entries: change.Entries, Gone: change.Gone,
 			Completed: change.Completed, Whole: change.Whole, Source: source})
@@ -110,8 +110,8 @@
 	return nil
 }
 
-// note keeps the status and the counters.
-func (f *Follower) note(slice versionlog.Slice, change replica.Change, news bool) {
+// note keeps the status and the counters. age is that of what the source has.
+func (f *Follower) note(slice versionlog.Slice, change replica.Change, news bool, age time.Duration) {
 	f.entries.Add(int64(len(change.Entries) + len(change.Gone)))
 	if news {
 		f.versions.Add(1)
@@ -123,7 +123,7 @@
 	defer f.mu.Unlock()
 	f.status.Version, f.status.Known, f.status.Whole, f.status.Entries = slice.Version, true, change.Whole, f.state.Len()
 	if change.Whole && !slice.More() {
-		f.confirmed = time.Now()
+		f.confirmed = time.Now().Add(-age)
 	}
 }
 
@@ -174,6 +174,15 @@
 // behind tells whether the current source's last answer was older than the replica.
 func (f *Follower) behind() bool { return !f.behindSince.IsZero() }
 
+// ageOf is how long ago the source knew that it has the authority's newest version, as far as it tells.
+func ageOf(m *http1.Message) time.Duration {
+	seconds, err := strconv.ParseUint(m.Header.Get("Age"), 10, 31)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 // retryAfter is the pause that a busy source asks for.
 func retryAfter(m *http1.Message) time.Duration {
 	seconds, err := strconv.ParseFloat(m.Header.Get("Retry-After"), 64)
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -57,7 +57,7 @@
 	Known   bool          // false: it has nothing yet, and Version means nothing
 	Whole   bool          // the replica is the log's state at Version
 	Entries int           // held
-	Age     time.Duration // since a source last confirmed that Version is its newest; since the start before that
+	Age     time.Duration // since Version was last known to be the authority's newest; since the start before that
 	Source  string        // the address that is followed; empty where none answers
 }
 
--- a/internal/distribution/follower.go
+++ b/internal/distribution/follower.go
@@ -104,6 +104,7 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	go f.watchAge(ctx)
 	for ctx.Err() == nil {
 		source, wait := f.selector.Next(f.now())
 		if wait > 0 {
--- a/internal/operator/register.go
+++ b/internal/operator/register.go
@@ -20,6 +20,11 @@
 	failWords = 10 * time.Second       // between two log lines on files that cannot be written
 	keepBack  = 10 * time.Minute       // what was called back so long ago is warm and no longer kept
 
+	// The list is made anew after so long for each of its bytes: one of 70 nodes at each look, one of 7,000 once in a
+	// second, for it takes a time in proportion, whatever has changed. It has its version with it, so who takes over asks
+	// discovery for what came later.
+	listCost = time.Microsecond
+
 	// What was learned of nodes holds for about as long as a rate is remembered, a few refills of a second.
 	keepLearned = 5 * time.Second
 
@@ -42,14 +47,20 @@
 	Clock func() time.Duration
 	Files *Files // nil keeps nothing beyond this process
 
+	// List is asked for the whole list, and the address that it came from, when files are written after ListChanged; nil
+	// where Listed alone brings lists. It is called by Run's goroutine.
+	List func() (discovery string, list json.RawMessage, err error)
+
 	visits chan chan struct{}
 	mu     sync.Mutex
 	mine   Snapshot
 	dirty  bool // not written yet
+	stale  bool // the list has changed since it was asked for
 
-	heard  time.Duration // when another process wrote last that serves; of Run alone, as shared is
-	shared bool
-	failed time.Duration // when a failed write was logged last; of Run alone
+	listAfter time.Duration // when the list may be asked for again; of Run alone
+	heard     time.Duration // when another process wrote last that serves; of Run alone, as shared is
+	shared    bool
+	failed    time.Duration // when a failed write was logged last; of Run alone
 }
 
 // NewRegister reads what other processes have left; Found tells what that was. Run has to be started for the rest.
@@ -94,6 +105,32 @@
 	r.mine.At, r.mine.List, r.mine.Discovery, r.dirty = r.Clock(), list, discovery, true
 }
 
+// ListChanged has List asked for the list before files are written next, or soon after: see listCost.
+func (r *Register) ListChanged() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stale = true
+}
+
+// readList asks for the list where it has changed and may be asked for again.
+func (r *Register) readList() {
+	now := r.Clock()
+	r.mu.Lock()
+	due := r.stale && r.List != nil && now >= r.listAfter
+	r.stale = r.stale && !due
+	r.mu.Unlock()
+	if !due {
+		return
+	}
+	discovery, list, err := r.List()
+	r.listAfter = now + time.Duration(len(list))*listCost
+	if err != nil {
+		slog.Error("list not kept", "err", err)
+		return
+	}
+	r.Listed(discovery, list)
+}
+
 // Recalled keeps what was learned of nodes for processes to come.
 func (r *Register) Recalled(m harepass.Memory) {
 	r.mu.Lock()
@@ -135,6 +172,7 @@
 	}
 	others := r.Files.Others()
 	r.share(others)
+	r.readList()
 	r.mu.Lock()
 	if r.take(others) {
 		r.dirty = true
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -6,10 +6,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"net/textproto"
-	"slices"
 	"time"
 
 	"harepass"
@@ -26,50 +24,17 @@
 // Source names discovery as a source of nodes.
 const Source = "discovery"
 
-// List is discovery's form of the list of nodes.
-type List struct {
-	Index     int64      `json:"index"`
-	Snapshot  bool       `json:"snapshot"`
-	Endpoints []Endpoint `json:"endpoints"`
-}
-
-// Endpoint is one entry.
-type Endpoint struct {
-	Name    string `json:"name"`
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-	Group   int    `json:"group"`
-	Status  string `json:"status"`
-	SinceMS int64  `json:"since_ms"`
-}
-
-var states = map[string]harepass.ReplicaState{
-	"in_service": harepass.Ready, "terminating": harepass.Draining, "terminated": harepass.Gone}
-
-// Nodes gives the entries as the owner takes them.
-func (l List) Nodes() ([]core.Node, error) {
-	var nodes []core.Node
-	for _, e := range l.Endpoints {
-		state, ok := states[e.Status]
-		if !ok || e.Name == "" {
-			return nil, fmt.Errorf("platform: entry %q has status %q", e.Name, e.Status)
-		}
-		nodes = append(nodes, core.Node{Replica: harepass.Replica{ID: e.Name, Cell: e.Group, Zone: e.Zone, State: state,
-			Since: time.Duration(e.SinceMS) * time.Millisecond}, Address: e.Address, Scheme: Scheme})
-	}
-	return nodes, nil
-}
-
 // Discovery keeps the owner's list as long as it is asked to.
 type Discovery struct {
-	Dial   http1.Dialer // nil for plain TCP
-	Listed func(harepass.ListScope, []core.Node)
-	Pace   *backoff.Pace                    // that of a coordinator which is alone, unless set
-	Kept   func(address string, whole List) // told of the whole list when it has changed; nil for nobody
-
-	address string              // of Run alone, as index is
-	index   int64               // version of the list that the owner has; unknown below 0
-	whole   map[string]Endpoint // the list by name, for Kept
+	Dial     http1.Dialer // nil for plain TCP
+	Listed   func(harepass.ListScope, []core.Node)
+	Schedule *backoff.Schedule // that of a coordinator which is alone, unless set
+
+	address string    // of Run alone, as index is
+	index   int64     // version of the list that the owner has; unknown below 0
+	known   List      // at the start, until Keep or Run
+	kept    *ListCopy // nil where nobody wants it
+	changed func()    // told when kept has changed
 	asked   chan struct{}
 	moved   chan string // the latest new address that Run has not seen
 }
@@ -79,34 +44,19 @@
 // NewDiscovery returns a Discovery for the service at an address; Listed has to be set before Run. The owner is to
 // have been given the known list, if there is one.
 func NewDiscovery(address string, known List) *Discovery {
-	d := &Discovery{address: address, index: noIndex, asked: make(chan struct{}, 1), moved: make(chan string, 1), whole: map[string]Endpoint{},
-		Pace: &backoff.Pace{Fleet: 1, Rand: rand.New(rand.NewPCG(rand.Uint64(), 0))}}
+	d := &Discovery{address: address, index: noIndex, known: known, asked: make(chan struct{}, 1), moved: make(chan string, 1),
+		Schedule: &backoff.Schedule{Fleet: 1, Rand: rand.New(rand.NewPCG(rand.Uint64(), 0))}}
 	if len(known.Endpoints) > 0 {
 		d.index = known.Index
 	}
-	d.merge(known)
 	return d
 }
 
-// merge takes an answer into the whole list.
-func (d *Discovery) merge(l List) {
-	if l.Snapshot {
-		clear(d.whole)
-	}
-	for _, e := range l.Endpoints {
-		if d.whole[e.Name] = e; states[e.Status] == harepass.Gone {
-			delete(d.whole, e.Name)
-		}
-	}
-}
-
-// keep tells Kept.
-func (d *Discovery) keep() {
-	l := List{Index: d.index, Snapshot: true}
-	for _, name := range slices.Sorted(maps.Keys(d.whole)) {
-		l.Endpoints = append(l.Endpoints, d.whole[name])
-	}
-	d.Kept(d.address, l)
+// Keep keeps the whole list for a process that takes over, and tells when it has changed. It is to be called before Run.
+func (d *Discovery) Keep(changed func()) *ListCopy {
+	d.kept, d.changed = NewListCopy(d.address, d.known), changed
+	d.known = List{}
+	return d.kept
 }
 
 // Subscribe asks for the list and its changes, from now on for good.
@@ -128,17 +78,18 @@
 
 // Run serves subscriptions until ctx ends, from the first time that it is asked to. Each begins with a call for what is new
 // since the version that the owner has, which does not wait, and goes on with watches; it ends with the first failed call,
-// which the owner is told, and the next one begins after the time that Pace gives. Only where no version is known, or one
+// which the owner is told, and the next one begins after the time that Schedule gives. Only where no version is known, or one
 // cannot be relied on, it begins with the whole list: that costs discovery work for each line, and after a common failure all
 // coordinators of a fleet ask at once. A move ends the subscription too, but the next one begins at once, with the
 // whole list: the new service counts by an index of its own. A watch that was lost is opened anew without a word to
 // the owner: what it missed is about to count as told.
 func (d *Discovery) Run(ctx context.Context) {
+	d.known = List{}
 	var pause time.Duration
 	select {
 	case <-d.asked:
 		if d.index != noIndex {
-			pause = d.Pace.First()
+			pause = d.Schedule.First()
 		}
 	case d.address = <-d.moved:
 		d.move()
@@ -162,9 +113,9 @@
 			d.move()
 			continue
 		case errors.Is(err, errLost):
-			pause = d.Pace.Lost()
+			pause = d.Schedule.Lost()
 		default:
-			pause = d.Pace.Failed(took)
+			pause = d.Schedule.Failed(took)
 			d.Listed(harepass.ListRefused, nil)
 		}
 		slog.Info("discovery lost", "err", err)
@@ -174,7 +125,7 @@
 // move begins anew with the service at another address.
 func (d *Discovery) move() {
 	d.index = noIndex
-	d.Pace.Move()
+	d.Schedule.Move()
 	slog.Info("discovery moved", "to", d.address)
 }
 
@@ -204,7 +155,7 @@
 // used is not taken over, and the next call asks for the whole list.
 func (d *Discovery) follow(ctx context.Context, c *http1.Client) (took time.Duration, err error) {
 	for watch := false; ; watch = true {
-		target, limit := "/registry/instances", d.Pace.Answer()
+		target, limit := "/registry/instances", d.Schedule.Answer()
 		switch {
 		case d.index == noIndex:
 		case watch: // renewed in time it costs no turn
@@ -226,16 +177,16 @@
 			d.index = noIndex
 			return 0, err
 		}
-		d.Pace.Served()
+		d.Schedule.Served()
 		scope := harepass.ListChanges
 		if list.Snapshot {
 			scope = harepass.ListFull
 		}
 		changed := list.Index != d.index || list.Snapshot
 		d.index = list.Index
-		if d.Kept != nil && changed {
-			d.merge(list)
-			d.keep()
+		if d.kept != nil && changed {
+			d.kept.Merge(d.address, list)
+			d.changed()
 		}
 		if changed || !watch { // else the owner has it, and knows that it is told of changes
 			d.Listed(scope, nodes)
--- /dev/null
+++ b/internal/platform/list.go
@@ -0,0 +1,94 @@
+package platform
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+)
+
+// List is discovery's form of the list of nodes.
+type List struct {
+	Index     int64      `json:"index"`
+	Snapshot  bool       `json:"snapshot"`
+	Endpoints []Endpoint `json:"endpoints"`
+}
+
+// Endpoint is one entry.
+type Endpoint struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Group   int    `json:"group"`
+	Status  string `json:"status"`
+	SinceMS int64  `json:"since_ms"`
+}
+
+// statusGone is that of an entry that is listed no more; it stands among changes only.
+const statusGone = "terminated"
+
+var states = map[string]harepass.ReplicaState{
+	"in_service": harepass.Ready, "terminating": harepass.Draining, statusGone: harepass.Gone}
+
+// Nodes gives the entries as the owner takes them.
+func (l List) Nodes() ([]core.Node, error) {
+	var nodes []core.Node
+	for _, e := range l.Endpoints {
+		state, ok := states[e.Status]
+		if !ok || e.Name == "" {
+			return nil, fmt.Errorf("platform: entry %q has status %q", e.Name, e.Status)
+		}
+		nodes = append(nodes, core.Node{Replica: harepass.Replica{ID: e.Name, Cell: e.Group, Zone: e.Zone, State: state,
+			Since: time.Duration(e.SinceMS) * time.Millisecond}, Address: e.Address, Scheme: Scheme})
+	}
+	return nodes, nil
+}
+
+// ListCopy is the whole list as the answers so far make it, for a process that takes over. An answer costs what it holds;
+// only Whole goes through the list. It is for any goroutine.
+type ListCopy struct {
+	mu      sync.Mutex
+	address string
+	index   int64
+	entries map[string]Endpoint // by name
+}
+
+// NewListCopy returns a copy of a known list of the service at an address.
+func NewListCopy(address string, known List) *ListCopy {
+	c := &ListCopy{entries: map[string]Endpoint{}}
+	c.Merge(address, known)
+	return c
+}
+
+// Merge takes an answer of the service at an address into the copy.
+func (c *ListCopy) Merge(address string, l List) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.address, c.index = address, l.Index
+	if l.Snapshot {
+		clear(c.entries)
+	}
+	for _, e := range l.Endpoints {
+		if states[e.Status] == harepass.Gone {
+			delete(c.entries, e.Name)
+		} else {
+			c.entries[e.Name] = e
+		}
+	}
+}
+
+// Whole is the list and the address of the service that it came from.
+func (c *ListCopy) Whole() (address string, l List) {
+	c.mu.Lock()
+	entries := maps.Clone(c.entries)
+	address, l = c.address, List{Index: c.index, Snapshot: true}
+	c.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(entries)) {
+		l.Endpoints = append(l.Endpoints, entries[name])
+	}
+	return address, l
+}
