--- /dev/null
+++ b/internal/core/nodes_test.go
@@ -0,0 +1,39 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"harepass"
+)
+
+// The entries of a list that is not whole yet count at once, but only its last ones make the owner ready, however long
+// they take: a remembered list does after a while, these do not.
+func TestPartsOfAList(t *testing.T) {
+	settings := newRig(t, nil).cfg.Settings
+	settings.Subscribe, settings.ListMaxAge = true, 10*time.Second
+	now := time.Hour
+	o, err := New(Config{Settings: settings, Clock: func() time.Duration { return now }, Subscribe: func() {}, Asked: "test"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	node := func(id string, state harepass.ReplicaState) Node {
+		return Node{Replica: harepass.Replica{ID: id, State: state}, Scheme: "hand"}
+	}
+	o.turn()
+	o.ListedPart("test", []Node{node("a", harepass.Ready), node("b", harepass.Ready)})
+	o.ListedPart("test", []Node{node("a", harepass.Draining), node("b", harepass.Gone)})
+	for range 3 {
+		now += 2 * presumeAfter
+		if o.turn(); o.Phase() != Starting {
+			t.Fatalf("half a list: %v", o.Phase())
+		}
+	}
+	if _, gone := o.nodes["b"]; gone || o.nodes["a"].State != harepass.Draining {
+		t.Errorf("the parts do not count: %v", o.nodes)
+	}
+	o.Listed("test", harepass.ListChanges, []Node{node("c", harepass.Ready)})
+	if o.turn(); o.Phase() != Ready || len(o.nodes) != 2 {
+		t.Errorf("the whole list: %v, %v", o.Phase(), o.nodes)
+	}
+}
