Command relay: the authority and chained relays, by a file of the operators

A change of configuration took a file and a SIGHUP on each machine. harepass relay gives out a list of discovery or a file, and settings that are checked whole, or follows other relays; off in serve.

--- a/cmd/harepass/main.go
+++ b/cmd/harepass/main.go
@@ -11,7 +11,7 @@
 
 const version = "0.1.0"
 
-const usage = "usage: harepass serve | check | version"
+const usage = "usage: harepass serve | check | relay | version"
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
@@ -20,7 +20,7 @@
 
 // run is the program; it returns the exit status: 2 for bad usage or configuration, 1 for other failures.
 func run(args []string, out, errs io.Writer) int {
-	commands := map[string]func([]string, io.Writer) error{"serve": serve, "check": check, "version": printVersion}
+	commands := map[string]func([]string, io.Writer) error{"serve": serve, "check": check, "relay": runRelay, "version": printVersion}
 	err := error(usageError{fmt.Errorf(usage)})
 	if len(args) > 0 {
 		if cmd := commands[args[0]]; cmd != nil {
--- a/internal/decide/versionlog/log.go
+++ b/internal/decide/versionlog/log.go
@@ -10,6 +10,9 @@
 // MaxEntry is the longest body of an entry, in bytes: with the envelope it fits into an answer of 64 KiB.
 const MaxEntry = 60 << 10
 
+// MaxObject is the longest object of a change, in bytes.
+const MaxObject = MaxEntry - versionKeyBytes
+
 const (
 	treeDegree      = 32
 	versionKeyBytes = 32 // what a body's version key may add to it
@@ -115,8 +118,8 @@
 		if change.Name == "" || !change.Removed && !isObject(change.Object) {
 			return 0, fmt.Errorf("versionlog: change of %q has no name or is no object", change.Name)
 		}
-		if len(change.Object) > MaxEntry-versionKeyBytes {
-			return 0, fmt.Errorf("versionlog: entry %q has %d bytes, more than %d", change.Name, len(change.Object), MaxEntry-versionKeyBytes)
+		if len(change.Object) > MaxObject {
+			return 0, fmt.Errorf("versionlog: entry %q has %d bytes, more than %d", change.Name, len(change.Object), MaxObject)
 		}
 		last[change.Name] = i
 	}
@@ -129,6 +132,22 @@
 	return published, nil
 }
 
+// Replace publishes a whole state: live entries that it does not hold are removed.
+func (l *Log) Replace(state []Change) (int, error) {
+	held := make(map[string]struct{}, len(state))
+	for _, change := range state {
+		held[change.Name] = struct{}{}
+	}
+	var changes []Change
+	l.byIndex.Ascend(func(entry Entry) bool {
+		if _, here := held[entry.Name]; !here && !entry.Removed {
+			changes = append(changes, Change{Name: entry.Name, Removed: true})
+		}
+		return true
+	})
+	return l.Publish(append(changes, state...))
+}
+
 func (l *Log) publish(change Change) bool {
 	old, known := l.byName[change.Name]
 	if change.Removed {
--- a/internal/decide/versionlog/log_test.go
+++ b/internal/decide/versionlog/log_test.go
@@ -195,9 +195,15 @@
 	if entries, bytes := l.Live(); entries != 2 || bytes != len(versioned(object("a", 3), 3))+len(versioned(object("b", 1), 5)) {
 		t.Errorf("%d live entries of %d bytes", entries, bytes)
 	}
+	whole := []Change{{Name: "a", Object: object("a", 3)}, {Name: "d", Object: object("d", 1)}}
+	for _, published := range []int{2, 0} { // b goes and d comes
+		if n, err := l.Replace(whole); n != published || err != nil || l.Head() != (Version{7, 7}) || state(l)["b"] != "" {
+			t.Errorf("%d of a whole state published, %v, head %+v", n, err, l.Head())
+		}
+	}
 	for _, bad := range []Change{{Object: object("", 1)}, {Name: "x", Object: []byte(`{"name":`)}, {Name: "x", Object: []byte(`[]`)},
 		{Name: "x", Object: fmt.Appendf(nil, `{"name":"x","text":"%0*d"}`, MaxEntry, 1)}} {
-		if _, err := l.Publish([]Change{{Name: "a", Object: object("a", 9)}, bad}); err == nil || l.Head().Index != 5 {
+		if _, err := l.Publish([]Change{{Name: "a", Object: object("a", 9)}, bad}); err == nil || l.Head().Index != 7 {
 			t.Errorf("%.40q was published: %v", bad.Object, err)
 		}
 	}
--- a/internal/relay/resource.go
+++ b/internal/relay/resource.go
@@ -90,12 +90,7 @@
 func (r *Resource) Publish(changes []versionlog.Change) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	published, err := r.log.Publish(changes)
-	r.current = time.Now()
-	if published > 0 {
-		r.announce()
-	}
-	return published, err
+	return r.published(r.log.Publish(changes))
 }
 
 // Apply takes a slice of the source over and tells the readers.
@@ -110,11 +105,23 @@
 	return err
 }
 
-// Restart drops a snapshot that has come in in part.
-func (r *Resource) Restart() {
+// Replace enters a whole state of an authority: live entries that it does not hold are removed.
+func (r *Resource) Replace(state []versionlog.Change) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.log.Restart()
+	return r.published(r.log.Replace(state))
+}
+
+// published tells the readers of changes, under the lock.
+func (r *Resource) published(changes int, err error) (int, error) {
+	if err != nil {
+		return 0, err
+	}
+	r.current = time.Now()
+	if changes > 0 {
+		r.announce()
+	}
+	return changes, nil
 }
 
 // announce wakes the readers, under the lock.
@@ -215,6 +222,13 @@
 	return time.Since(r.current)
 }
 
+// Head is the version of what the resource holds.
+func (r *Resource) Head() versionlog.Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.log.Head()
+}
+
 // ResourceStatus is where a resource stands.
 type ResourceStatus struct {
 	Epoch   int64   `json:"epoch"`
