--- a/cmd/harepass/distribution.go
+++ b/cmd/harepass/distribution.go
@@ -9,7 +9,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"os"
 	"slices"
 	"strings"
@@ -33,11 +32,6 @@
 	resourceSettings = "settings"
 )
 
-const (
-	leastHeartbeat = 50 * time.Millisecond
-	mostHeartbeat  = 20 * time.Second
-)
-
 // distributionFile is what an installation says of the relays that it has.
 type distributionFile struct {
 	Zone      string        `yaml:"zone"` // where this coordinator runs
@@ -48,13 +42,6 @@
 	Allowance time.Duration `yaml:"allowance"` // how much later an answer may come
 }
 
-// relaySource is a relay that may be followed.
-type relaySource struct {
-	Address string `yaml:"address"`
-	Zone    string `yaml:"zone"`
-	Region  string `yaml:"region"`
-}
-
 // loadDistribution reads the file; nil where the default one is missing.
 func loadDistribution(path string) (*distributionFile, error) {
 	data, err := os.ReadFile(path)
@@ -79,18 +66,8 @@
 
 // check finds what is wrong with the file.
 func (f *distributionFile) check() error {
-	if len(f.Sources) == 0 {
-		return errors.New("no sources")
-	}
-	seen := map[string]bool{}
-	for _, s := range f.Sources {
-		if _, _, err := net.SplitHostPort(s.Address); err != nil {
-			return fmt.Errorf("source: %w", err)
-		}
-		if seen[s.Address] {
-			return fmt.Errorf("source %s stands twice", s.Address)
-		}
-		seen[s.Address] = true
+	if err := checkRelaySources(f.Sources); err != nil {
+		return err
 	}
 	if len(f.Resources) == 0 {
 		return errors.New("no resources; without the file distribution is off")
@@ -100,13 +77,7 @@
 			return fmt.Errorf("resource %q is neither %s nor %s", r, resourceNodes, resourceSettings)
 		}
 	}
-	switch {
-	case f.Heartbeat < leastHeartbeat || f.Heartbeat > mostHeartbeat:
-		return fmt.Errorf("heartbeat %v has to be from %v to %v", f.Heartbeat, leastHeartbeat, mostHeartbeat)
-	case f.Allowance < leastHeartbeat || f.Allowance > mostHeartbeat:
-		return fmt.Errorf("allowance %v has to be from %v to %v", f.Allowance, leastHeartbeat, mostHeartbeat)
-	}
-	return nil
+	return checkHeartbeat(f.Heartbeat, f.Allowance)
 }
 
 // takes tells whether a resource comes from relays. It is for a nil file too.
@@ -116,10 +87,7 @@
 
 // follower returns a follower of a resource for a coordinator with a seed.
 func (f *distributionFile) follower(c distribution.Config, seed uint64) *distribution.Follower {
-	c.Own = sources.Place{Zone: f.Zone, Region: f.Region}
-	for _, s := range f.Sources {
-		c.Sources = append(c.Sources, sources.Source{Address: s.Address, Place: sources.Place{Zone: s.Zone, Region: s.Region}})
-	}
+	c = withSources(c, f.Sources, sources.Place{Zone: f.Zone, Region: f.Region})
 	c.Hold, c.Allowance = f.Heartbeat, f.Allowance
 	c.Rand = rand.New(rand.NewPCG(seed, rand.Uint64()))
 	return distribution.New(c)
--- a/cmd/harepass/relay.go
+++ b/cmd/harepass/relay.go
@@ -110,11 +110,8 @@
 	}
 	for resource, kept := range map[distribution.Resource]*relay.Resource{
 		distribution.Instances: r.server.Instances, distribution.Settings: r.server.Settings} {
-		config := distribution.Config{Resource: resource, Own: sources.Place{Zone: r.file.Zone, Region: r.file.Region},
-			Hold: r.file.Heartbeat, Allowance: r.file.Allowance}
-		for _, s := range r.file.Sources {
-			config.Sources = append(config.Sources, sources.Source{Address: s.Address, Place: sources.Place{Zone: s.Zone, Region: s.Region}})
-		}
+		config := distribution.Config{Resource: resource, Hold: r.file.Heartbeat, Allowance: r.file.Allowance}
+		config = withSources(config, r.file.Sources, sources.Place{Zone: r.file.Zone, Region: r.file.Region})
 		go kept.Follow(ctx, config)
 	}
 }
@@ -167,15 +164,3 @@
 	s.settings, s.caps, err = wire.JSONSettings(settings)
 	return s, err
 }
-
-// TEMP until the member's file is merged
-type relaySource struct {
-	Address string `yaml:"address"`
-	Zone    string `yaml:"zone"`
-	Region  string `yaml:"region"`
-}
-
-const (
-	leastHeartbeat = 50 * time.Millisecond
-	mostHeartbeat  = 20 * time.Second
-)
--- a/cmd/harepass/relay_config.go
+++ b/cmd/harepass/relay_config.go
@@ -95,24 +95,6 @@
 	return nil
 }
 
-// checkRelaySources finds what is wrong with a list of sources.
-func checkRelaySources(list []relaySource) error {
-	if len(list) == 0 {
-		return errors.New("no sources")
-	}
-	seen := map[string]bool{}
-	for _, s := range list {
-		if _, _, err := net.SplitHostPort(s.Address); err != nil {
-			return fmt.Errorf("source: %w", err)
-		}
-		if seen[s.Address] {
-			return fmt.Errorf("source %s stands twice", s.Address)
-		}
-		seen[s.Address] = true
-	}
-	return nil
-}
-
 // checkLimits finds what is wrong with the bounds of a relay's file.
 func (f *relayFile) checkLimits() error {
 	for _, bound := range []struct {
@@ -130,13 +112,8 @@
 			return fmt.Errorf("%s %d has to be from %d to %d", bound.name, bound.value, bound.least, bound.most)
 		}
 	}
-	for name, d := range map[string]time.Duration{"heartbeat": f.Heartbeat, "allowance": f.Allowance} {
-		if d < leastHeartbeat || d > mostHeartbeat {
-			return fmt.Errorf("%s %v has to be from %v to %v", name, d, leastHeartbeat, mostHeartbeat)
-		}
-	}
 	if f.LogEvery < leastLogEvery {
 		return fmt.Errorf("log_every %v has to be %v at least", f.LogEvery, leastLogEvery)
 	}
-	return nil
+	return checkHeartbeat(f.Heartbeat, f.Allowance)
 }
--- a/internal/relay/server_test.go
+++ b/internal/relay/server_test.go
@@ -41,7 +41,12 @@
 // start serves two resources on a loopback address until the test ends, or stop is called.
 func start(t *testing.T, server *Server) (address string, stop func()) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return startAt(t, server, "127.0.0.1:0")
+}
+
+func startAt(t *testing.T, server *Server, at string) (address string, stop func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", at)
 	if err != nil {
 		t.Fatal(err)
 	}
