--- a/cmd/harepass/distribution_test.go
+++ b/cmd/harepass/distribution_test.go
@@ -68,13 +68,14 @@
 	*exec.Cmd
 	log     *rig.Log
 	native  string
+	door    string
 	logged  func(line string)
 	ready   func() bool
 	classes func(class string) int // the status of a query of a class
 }
 
-func startDistributed(t *testing.T, r *relays, settings []byte) *distributed {
-	dir := t.TempDir()
+// startDistributed starts a process with a folder, where it also keeps what the next process finds.
+func startDistributed(t *testing.T, r *relays, settings []byte, dir string) *distributed {
 	write := func(name, text string) string {
 		path := filepath.Join(dir, name)
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -82,8 +83,8 @@
 		}
 		return path
 	}
-	p := &distributed{log: &rig.Log{}, native: reserve(t)}
-	config, err := json.Marshal(map[string]any{"name": "n1", "listen": p.native, "discovery": reserve(t), "seed": "8c1f30d27a5be964",
+	p := &distributed{log: &rig.Log{}, native: reserve(t), door: reserve(t)}
+	config, err := json.Marshal(map[string]any{"name": "n1", "listen": p.native, "operator": p.door, "discovery": reserve(t), "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"known":    map[string]any{"index": 0, "snapshot": true, "endpoints": []any{}},
 		"settings": json.RawMessage(settings)})
@@ -92,7 +93,7 @@
 	}
 	file := fmt.Sprintf("zone: r1-a\nregion: r1\nheartbeat: 200ms\nsources:\n- {address: %q, zone: r1-a, region: r1}\n- {address: %q, zone: r1-b, region: r1}\n", r.addresses[0], r.addresses[1])
 	p.Cmd = exec.Command(os.Args[0], "serve", "-distribution", write("distribution.yaml", file))
-	p.Env = append(os.Environ(), "HAREPASS_TEST_RUN=1", "PROXY_CONFIG="+write("config.json", string(config)))
+	p.Env = append(os.Environ(), "HAREPASS_TEST_RUN=1", "TMPDIR="+dir, "PROXY_CONFIG="+write("config.json", string(config)))
 	p.Stderr = p.log
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
@@ -134,7 +135,7 @@
 	}
 	settings = regexp.MustCompile(`"quota_per_s": [0-9.]+`).ReplaceAll(settings, []byte(`"quota_per_s": 5000`))
 	r := newRelays(t)
-	p := startDistributed(t, r, settings)
+	p := startDistributed(t, r, settings, t.TempDir())
 	eventually(t, "a listening process", func() bool { return strings.Contains(p.log.String(), "serving") })
 	if p.ready() {
 		t.Error("ready without a list")
@@ -194,6 +195,45 @@
 	}
 }
 
+// A process that takes over from a killed one begins with its list, and drops the names that are listed no more with the last
+// slice of its first snapshot.
+func TestDistributedListIsTakenOver(t *testing.T) {
+	settings, err := os.ReadFile("../../deploy/settings.example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fleet, at, dir := &standin.Fleet{}, listen(t), t.TempDir()
+	go fleet.Frames(at)
+	r := newRelays(t)
+	r.node("f0", "in_service", at)
+	r.node("f1", "in_service", at)
+	door := func(p *distributed, line string) string { return (&rig.Process{Door: p.door}).Call(line) }
+	first := startDistributed(t, r, settings, dir)
+	first.logged("list in force version=7/2")
+	eventually(t, "a file with both nodes", func() bool {
+		files, _ := filepath.Glob(filepath.Join(dir, stateFolder, "*.state"))
+		for _, path := range files {
+			if data, _ := os.ReadFile(path); bytes.Contains(data, []byte(`"name":"f0"`)) && bytes.Contains(data, []byte(`"name":"f1"`)) {
+				return true
+			}
+		}
+		return false
+	})
+	first.Process.Kill()
+	first.Wait()
+	r.publish(r.instances, "f1", "")
+	second := startDistributed(t, r, settings, dir)
+	second.logged("list taken over nodes=2")
+	second.logged("list in force version=7/3")
+	eventually(t, "f1 gone", func() bool { return strings.HasPrefix(door(second, "maint-on f1"), "400") })
+	if answer := door(second, "maint-on f0"); !strings.HasPrefix(answer, "200") {
+		t.Errorf("f0: %q", answer)
+	}
+	if answer := door(second, "maint-off f0"); !strings.HasPrefix(answer, "200") {
+		t.Errorf("f0: %q", answer)
+	}
+}
+
 // A file with a fault is named in one line, by check and by serve; a good one is summed up, and so is the example.
 func TestDistributionFile(t *testing.T) {
 	t.Setenv("PROXY_CONFIG", "")
--- a/cmd/harepass/upgrade.go
+++ b/cmd/harepass/upgrade.go
@@ -20,12 +20,12 @@
 // stateFolder is below the folder that the platform leaves as it was when it starts a new version beside the old one.
 const stateFolder = "harepass"
 
-// takeOver reads what another process has left and returns the list to begin with: its list, which is later than the
-// configuration's. Of a list from another address the version means nothing, so discovery is asked for all of it.
-func (p *program) takeOver() platform.List {
+// takeOver reads what another process has left and returns the list to begin with, and the address that it came from: its
+// list, which is later than the configuration's.
+func (p *program) takeOver() (list platform.List, from string) {
 	known := p.config.Known
 	if p.config.Operator == "" {
-		return known
+		return known, p.config.Discovery
 	}
 	var files *operator.Files
 	err := errors.New("TMPDIR is not set")
@@ -38,21 +38,18 @@
 	p.staff = operator.NewRegister(p.config.Name, files, p.clock)
 	data, from := p.staff.Found()
 	if len(data) == 0 {
-		return known
+		return known, p.config.Discovery
 	}
 	var found platform.List
 	err = json.Unmarshal(data, &found)
 	nodes, bad := found.Nodes()
 	if err = errors.Join(err, bad); err != nil {
 		slog.Warn("the other process's list is not used", "err", err)
-		return known
+		return known, p.config.Discovery
 	}
 	p.known = nodes
 	slog.Info("list taken over", "nodes", len(nodes), "version", found.Index)
-	if from != p.config.Discovery {
-		return platform.List{}
-	}
-	return found
+	return found, from
 }
 
 // openDoor lets operators in. From here on what they say is kept for the process that comes next.
--- a/cmd/harepass/wiring.go
+++ b/cmd/harepass/wiring.go
@@ -76,7 +76,7 @@
 
 // nodeSource makes where the platform's nodes are told of: relays where the operators' file says so, else discovery.
 func (p *program) nodeSource(cfg *core.Config) {
-	known := p.takeOver()
+	known, from := p.takeOver()
 	cfg.Asked = platform.Source
 	if p.staff != nil {
 		cfg.Recalled = p.staff.Recalled
@@ -85,6 +85,9 @@
 		p.distributed = platform.NewDistributed(known)
 		return
 	}
+	if from != p.config.Discovery {
+		known = platform.List{} // its version means nothing there, so discovery is asked for all of it
+	}
 	p.disc = platform.NewDiscovery(p.config.Discovery, known)
 	p.disc.Schedule = &backoff.Schedule{Fleet: p.settings.Roots, Told: p.settings.ListMaxAge, Pushed: p.pushed,
 		Rand: rand.New(rand.NewPCG(p.seed, scheduleStream))}
--- a/internal/distribution/call.go
+++ b/internal/distribution/call.go
@@ -141,7 +141,7 @@
 		return true
 	}
 	var busy busyError
-	if errors.As(r.err, &busy) && !f.state.Whole() {
+	if errors.As(r.err, &busy) && f.needsSnapshot() {
 		slog.Debug("source busy", "resource", f.cfg.Resource.Name(), "source", source.Address, "retry_after", busy.retryAfter)
 		f.selector.Busy(f.now(), busy.retryAfter)
 		return false
@@ -156,6 +156,10 @@
 	return false
 }
 
+// needsSnapshot tells whether a busy source is worth waiting for: the reader has no list yet, or one so old that no other
+// source is likely to have all that changed since. One with a fresh list goes on at the next source.
+func (f *Follower) needsSnapshot() bool { return !f.state.Whole() || f.Status().Age > oldAfter }
+
 // bearBehind waits a moment where the source is behind, and has not been so for long.
 func (f *Follower) bearBehind(ctx context.Context, r result) bool {
 	if r.reason() != sources.Behind {
