--- a/internal/capacity/service.go
+++ b/internal/capacity/service.go
@@ -39,11 +39,11 @@
 // fleetStart plays, in virtual time, a fleet that starts in one instant until each coordinator has been answered once; it
 // returns when the last was, and how many calls that took.
 func fleetStart(coordinators int, seed uint64) (last time.Duration, calls int, err error) {
-	var paces []*backoff.Pace
+	var schedules []*backoff.Schedule
 	var due serviceCalls
 	for i := range coordinators {
-		paces = append(paces, &backoff.Pace{Fleet: coordinators, Rand: rand.New(rand.NewPCG(uint64(i), seed))})
-		heap.Push(&due, serviceCall{paces[i].First(), i})
+		schedules = append(schedules, &backoff.Schedule{Fleet: coordinators, Rand: rand.New(rand.NewPCG(uint64(i), seed))})
+		heap.Push(&due, serviceCall{schedules[i].First(), i})
 	}
 	free := time.Duration(0)
 	for len(due) > 0 {
@@ -55,11 +55,11 @@
 		begun := max(free, c.at)
 		free = begun + serviceTurn
 		if begun-c.at <= servicePatience {
-			paces[c.who].Served()
+			schedules[c.who].Served()
 			last = max(last, free)
 			continue
 		}
-		heap.Push(&due, serviceCall{c.at + servicePatience + paces[c.who].Failed(servicePatience), c.who})
+		heap.Push(&due, serviceCall{c.at + servicePatience + schedules[c.who].Failed(servicePatience), c.who})
 	}
 	return last, calls, nil
 }
