--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -28,7 +28,7 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Emulated map nodes, and experiments on the coordinator",
 		SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(run(), nodes(), mountain(), load(), report(), logs(), upgrades(), fleet(), coordinator(), capacityNodes(), capacityPage())
+	c.AddCommand(run(), nodes(), mountain(), load(), report(), logs(), upgrades(), fleet(), coordinator(), capacityHelper(), capacityPage())
 	return c
 }
 
@@ -161,10 +161,10 @@
 		RunE: func(cmd *cobra.Command, _ []string) error { return lab.Serve(cmd.InOrStdin(), cmd.OutOrStdout()) }}
 }
 
-func capacityNodes() *cobra.Command {
-	return &cobra.Command{Use: lab.CapacityNodesCommand, Hidden: true, Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return capacity.ServeNodes(cmd.InOrStdin(), cmd.OutOrStdout())
+func capacityHelper() *cobra.Command {
+	return &cobra.Command{Use: lab.CapacityHelperCommand, Hidden: true, Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return capacity.Help(args, cmd.InOrStdin(), cmd.OutOrStdout())
 		}}
 }
 
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -28,6 +28,7 @@
 	figure  func() (float64, error)  // in place of operate
 	unit    time.Duration            // that a point counts in
 	parts   int                      // that one operation is divided by; 0 for 1
+	once    bool                     // one operation is a repeat
 	check   func(operated int) error // whether all that was asked for has happened; nil for nothing
 	end     func()                   // nil for nothing
 }
@@ -95,7 +96,7 @@
 	runtime.GC() // what came before is not paid for here
 	began := cpuTime()
 	spent := time.Duration(0)
-	for count == 0 || spent < e.CPU && count < e.Most {
+	for count == 0 || !s.once && spent < e.CPU && count < e.Most {
 		if err := s.operate(); err != nil {
 			return 0, count, err
 		}
--- /dev/null
+++ b/internal/capacity/member.go
@@ -0,0 +1,178 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/decide/sources"
+	"harepass/internal/distribution"
+	"harepass/internal/platform"
+)
+
+// member is a coordinator's whole path for its list from a relay, which is a helper: follower, owner, module.
+type member struct {
+	owner    *core.Owner
+	follower *distribution.Follower
+	cancel   context.CancelFunc
+	done     chan struct{} // closed when the follower has ended
+	turns    chan struct{} // a token for each turn of the owner
+	whole    chan struct{} // closed when the list is whole
+}
+
+// newMember starts a member and waits until it has its list; hold is how long its watches are held.
+func newMember(nodes int, address string, hold time.Duration) (*member, error) {
+	m := &member{done: make(chan struct{}), turns: make(chan struct{}, 1), whole: make(chan struct{})}
+	var err error
+	m.owner, err = core.New(core.Config{Seed: 1, Clock: core.SystemClock(), Settings: settings(nodes), Subscribe: func() {},
+		Asked: platform.Source, Callers: map[string]core.Caller{platform.Scheme: nowhere{}}, Gate: turnGate(m.turns)})
+	if err != nil {
+		return nil, err
+	}
+	d := platform.NewDistributed(platform.List{})
+	d.Listed = func(scope harepass.ListScope, nodes []core.Node) { m.owner.Listed(platform.Source, scope, nodes) }
+	d.Part = func(nodes []core.Node) { m.owner.ListedPart(platform.Source, nodes) }
+	m.follower = distribution.New(distribution.Config{Resource: distribution.Instances, Sources: []sources.Source{{Address: address}}, Check: d.Check, Hold: hold,
+		Apply: func(u distribution.Update) {
+			d.Apply(u)
+			if u.Completed {
+				close(m.whole)
+			}
+		}})
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.owner.Listed(platform.Source, harepass.ListRemembered, nil)
+	go m.owner.Run()
+	go func() { m.follower.Run(ctx); close(m.done) }()
+	if err := wait(m.whole); err != nil {
+		return nil, errors.Join(err, m.end())
+	}
+	return m, wait(m.owner.Started())
+}
+
+// end stops the member.
+func (m *member) end() error {
+	m.cancel()
+	m.owner.Stop()
+	return wait(m.done)
+}
+
+// memberOf starts a relay and a member of it.
+func memberOf(nodes int, hold time.Duration, helpers Helpers) (*member, *helper, error) {
+	h, address, err := startHelper(helpers, helpRelay, fmt.Sprint(nodes))
+	if err != nil {
+		return nil, nil, err
+	}
+	m, err := newMember(nodes, address, hold)
+	if err != nil {
+		h.close()
+		return nil, nil, err
+	}
+	return m, h, nil
+}
+
+// memberChange is one changed entry, from a relay's answer to the module.
+func memberChange(helpers Helpers) func(nodes int) (*subject, error) {
+	return func(nodes int) (*subject, error) {
+		m, h, err := memberOf(nodes, longHold, helpers)
+		if err != nil {
+			return nil, err
+		}
+		before := m.follower.Counters().Entries
+		return &subject{unit: time.Microsecond, end: func() { m.end(); h.close() },
+			operate: func() error {
+				drain(m.turns)
+				if _, err := h.say("change"); err != nil {
+					return err
+				}
+				return wait(m.turns)
+			},
+			check: func(operated int) error {
+				if taken := m.follower.Counters().Entries - before; taken != int64(operated) {
+					return fmt.Errorf("capacity: %d changes, %d entries taken", operated, taken)
+				}
+				return nil
+			}}, nil
+	}
+}
+
+// memberList is the whole list in slices, to a coordinator that has just started.
+func memberList(helpers Helpers) func(nodes int) (*subject, error) {
+	return func(nodes int) (*subject, error) {
+		h, address, err := startHelper(helpers, helpRelay, fmt.Sprint(nodes))
+		if err != nil {
+			return nil, err
+		}
+		return &subject{unit: time.Millisecond, end: h.close, operate: func() error {
+			m, err := newMember(nodes, address, longHold)
+			if err != nil {
+				return err
+			}
+			return m.end()
+		}}, nil
+	}
+}
+
+// memberListBytes is what that takes on the wire, both ways.
+func memberListBytes(helpers Helpers) func(nodes int) (*subject, error) {
+	return func(nodes int) (*subject, error) {
+		return &subject{figure: func() (float64, error) {
+			m, h, err := memberOf(nodes, longHold, helpers)
+			if err != nil {
+				return 0, err
+			}
+			defer h.close()
+			c := m.follower.Counters()
+			return float64(c.BytesRead+c.BytesWritten) / 1e6, m.end()
+		}}, nil
+	}
+}
+
+const (
+	shortHold = 2 * time.Millisecond // of watches that are renewed all the time
+	renewals  = 50                   // of one operation
+)
+
+// renewed waits until a member has renewed its watch so often.
+func (m *member) renewed(times int64) error {
+	from := m.follower.Counters().Calls
+	for began := time.Now(); time.Since(began) < answerWait; time.Sleep(pollEvery) {
+		if m.follower.Counters().Calls >= from+times {
+			return nil
+		}
+	}
+	return errNoWord
+}
+
+// memberRenewal is a watch at a relay that brings nothing and is renewed.
+func memberRenewal(helpers Helpers) func(nodes int) (*subject, error) {
+	return func(nodes int) (*subject, error) {
+		m, h, err := memberOf(nodes, shortHold, helpers)
+		if err != nil {
+			return nil, err
+		}
+		return &subject{unit: time.Microsecond, parts: renewals, end: func() { m.end(); h.close() },
+			operate: func() error { return m.renewed(renewals) }}, nil
+	}
+}
+
+// memberRenewalBytes is what one takes on the wire, both ways.
+func memberRenewalBytes(helpers Helpers) func(nodes int) (*subject, error) {
+	return func(nodes int) (*subject, error) {
+		return &subject{figure: func() (float64, error) {
+			m, h, err := memberOf(nodes, shortHold, helpers)
+			if err != nil {
+				return 0, err
+			}
+			defer h.close()
+			before := m.follower.Counters()
+			err = m.renewed(renewals)
+			after := m.follower.Counters()
+			bytes := after.BytesRead + after.BytesWritten - before.BytesRead - before.BytesWritten
+			return float64(bytes) / float64(after.Calls-before.Calls), errors.Join(err, m.end())
+		}}, nil
+	}
+}
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"time"
+
+	"harepass/internal/distribution"
 )
 
 // Plan is what a run measures: at which sizes, and with how much effort.
@@ -17,20 +19,22 @@
 	Connections []int
 	Fleet       []int // coordinators
 	Effort      Effort
-	Start       Nodes // data nodes for what goes through sockets
+	Readers     []int         // of a relay
+	Heartbeat   time.Duration // of watches at a relay
+	Helpers     Helpers
 }
 
 // Full is the plan of the page: some minutes.
-func Full(start Nodes) Plan {
+func Full(helpers Helpers) Plan {
 	return Plan{Nodes: []int{70, 220, 700, 2200, DataNodes}, Wide: []int{70, 220, 700, 2200, DataNodes}, Open: []int{1, 4, 12, 36}, Parts: []int{4, 12, 40, QueryParts},
 		Entries: []int{4, 12, 37, 115, zoneEntries}, Rates: []int{1, 3, 10, 32}, Connections: []int{46, 146, 466, 1466, keptNodes},
-		Fleet: []int{15, 47, 150, 475, Coordinators}, Effort: Effort{Repeats: 5, CPU: 25 * time.Millisecond, Most: 2000}, Start: start}
+		Fleet: []int{15, 47, 150, 475, Coordinators}, Effort: Effort{Repeats: 5, CPU: 25 * time.Millisecond, Most: 2000}, Readers: []int{10, 32, 100, 320, 1000}, Heartbeat: distribution.DefaultHold, Helpers: helpers}
 }
 
 // Small is the same shape at small size, for tests: one operation for each point.
 func Small() Plan {
 	return Plan{Nodes: []int{6, 12, 24, 60}, Wide: []int{6, 12, 24, 60}, Open: []int{1, 2, 4, 10}, Parts: []int{1, 2, 4, 10}, Entries: []int{1, 2, 4, 10},
-		Rates: []int{1, 2, 4, 10}, Connections: []int{1, 2, 4, 10}, Fleet: []int{3, 10, 20, 30}, Effort: Effort{Repeats: 1, Most: 1}, Start: HereNodes}
+		Rates: []int{1, 2, 4, 10}, Connections: []int{1, 2, 4, 10}, Fleet: []int{3, 10, 20, 30}, Effort: Effort{Repeats: 1, Most: 1}, Readers: []int{1, 2, 4, 10}, Heartbeat: 20 * time.Millisecond, Helpers: HelpHere}
 }
 
 const (
@@ -59,11 +63,20 @@
 		{Series{Name: "list-memory", Title: "live heap with the list", Variable: "nodes", Unit: "MB", Form: Power, Residual: 0.5}, p.Nodes, listMemory},
 		{Series{Name: "query-module", Title: fmt.Sprintf("module, a query of %d parts over %d sections, each served after %v", QueryParts, QueryParts, served), Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Nodes, queryByNodes},
 		{Series{Name: "query-open", Title: fmt.Sprintf("the same before %d nodes", openNodes), Variable: "open queries", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Open, queryByOpen},
-		{Series{Name: "query-parts", Title: "a query through front, owner, module and nodes' connections", Variable: "parts", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Parts, queryByParts(QueryParts, p.Start)},
-		{Series{Name: "query-sockets", Title: fmt.Sprintf("the same, of %d parts", QueryParts), Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Nodes, socketQueryByNodes(p.Start)},
+		{Series{Name: "query-parts", Title: "a query through front, owner, module and nodes' connections", Variable: "parts", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Parts, queryByParts(QueryParts, p.Helpers)},
+		{Series{Name: "query-sockets", Title: fmt.Sprintf("the same, of %d parts", QueryParts), Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Nodes, socketQueryByNodes(p.Helpers)},
 		{Series{Name: "refusal", Title: "a query refused at the gate", Variable: "parts", Unit: "us CPU", Form: Power, Residual: 0.5}, p.Parts, refusalByParts},
-		{Series{Name: "connection-memory", Title: "heap and stacks of idle connections to nodes", Variable: "connections", Unit: "MB", Form: Linear, Residual: 0.5}, p.Connections, connectionMemory(p.Start)},
-		{Series{Name: "connection-descriptors", Title: "descriptors of the same", Variable: "connections", Unit: "descriptors", Form: Linear, Residual: 0.5}, p.Connections, connectionDescriptors(p.Start)},
+		{Series{Name: "connection-memory", Title: "heap and stacks of idle connections to nodes", Variable: "connections", Unit: "MB", Form: Linear, Residual: 0.5}, p.Connections, connectionMemory(p.Helpers)},
+		{Series{Name: "connection-descriptors", Title: "descriptors of the same", Variable: "connections", Unit: "descriptors", Form: Linear, Residual: 0.5}, p.Connections, connectionDescriptors(p.Helpers)},
+		{Series{Name: "member-change", Title: "one changed entry from a relay: follower, owner, module", Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Nodes, memberChange(p.Helpers)},
+		{Series{Name: "member-list", Title: "the whole list in slices at a start: follower, owner, module", Variable: "nodes", Unit: "ms CPU", Form: Power, Residual: 0.5}, p.Nodes, memberList(p.Helpers)},
+		{Series{Name: "member-list-bytes", Title: "the same on the wire, both ways", Variable: "nodes", Unit: "MB", Form: Power, Residual: 0.1}, p.Nodes, memberListBytes(p.Helpers)},
+		{Series{Name: "member-renewal", Title: "a watch at a relay without news, renewed", Variable: "nodes", Unit: "us CPU", Form: Power, Residual: 0.35}, p.Nodes, memberRenewal(p.Helpers)},
+		{Series{Name: "member-renewal-bytes", Title: "the same on the wire, both ways", Variable: "nodes", Unit: "bytes", Form: Power, Residual: 0.1}, p.Nodes, memberRenewalBytes(p.Helpers)},
+		{Series{Name: "relay-change", Title: "one changed entry at a relay", Variable: "readers", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Readers, relayChange(list, p.Helpers)},
+		{Series{Name: "relay-idle", Title: "a second at a relay without news, heartbeats of 0.5 s", Variable: "readers", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Readers, relayIdle(list, p.Heartbeat, p.Helpers)},
+		{Series{Name: "relay-list", Title: "one reader's whole list at a relay", Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.5}, p.Nodes, relayList(p.Helpers)},
+		{Series{Name: "relay-memory", Title: "heap and stacks of a relay with its list", Variable: "readers", Unit: "MB", Form: Linear, Residual: 0.35}, p.Readers, relayMemory(list, p.Helpers)},
 		{Series{Name: "fleet-start", Title: "virtual time until the last coordinator has its list, all started at once, 0.1 s a call assumed", Variable: "coordinators", Unit: "s", Form: Power, Residual: 0.8}, p.Fleet, lastHeard},
 	}
 }
--- /dev/null
+++ b/internal/capacity/relay.go
@@ -0,0 +1,287 @@
+package capacity
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"strconv"
+	"time"
+
+	"harepass/internal/decide/versionlog"
+	"harepass/internal/http1"
+	"harepass/internal/relay"
+)
+
+const (
+	relayEpoch    = 7
+	relayRemovals = 10_000
+	relayBudget   = 1 << 30 // bytes a second: nobody waits, for it is CPU time that counts
+	relayReaders  = 4000
+	relayBody     = 64 << 10         // of an answer
+	longHold      = 20 * time.Second // no measurement waits for its end
+	pollEvery     = 500 * time.Microsecond
+)
+
+// relaySource is an authority with a list, served on a loopback address.
+type relaySource struct {
+	instances *relay.Resource
+	server    *relay.Server
+	listener  net.Listener
+	nodes     int
+	no        int
+}
+
+func newRelaySource(nodes int) (*relaySource, error) {
+	budget := relay.NewBudget(relayBudget)
+	r := &relaySource{nodes: nodes, instances: relay.NewResource(versionlog.New(relayEpoch, relayRemovals), budget)}
+	settings := relay.NewResource(versionlog.New(relayEpoch, relayRemovals), budget)
+	var changes []versionlog.Change
+	for _, e := range entries(nodes) {
+		changes = append(changes, published(e))
+	}
+	if _, err := r.instances.Publish(changes); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r.listener, r.server = listener, relay.NewServer(r.instances, settings, relayReaders)
+	go r.server.Serve(listener)
+	return r, nil
+}
+
+func published(e wireEntry) versionlog.Change {
+	object, err := json.Marshal(e)
+	if err != nil {
+		panic(err) // numbers and strings
+	}
+	return versionlog.Change{Name: e.Name, Object: object}
+}
+
+// change publishes that one more node has restarted.
+func (r *relaySource) change() error {
+	r.no++
+	_, err := r.instances.Publish([]versionlog.Change{published(entry(r.no%r.nodes, time.Duration(time.Now().UnixNano())))})
+	return err
+}
+
+func (r *relaySource) end() {
+	r.listener.Close()
+	r.server.Shutdown()
+}
+
+// helpWithRelay is a relay of so many nodes.
+func helpWithRelay(nodes string, in *bufio.Reader, out io.Writer) error {
+	n, err := strconv.Atoi(nodes)
+	if err != nil {
+		return err
+	}
+	r, err := newRelaySource(n)
+	if err != nil {
+		return err
+	}
+	defer r.end()
+	if _, err := fmt.Fprintln(out, r.listener.Addr()); err != nil {
+		return err
+	}
+	return obey(in, out, r.change)
+}
+
+// reader is one reader of a relay.
+type reader struct {
+	client http1.Client
+	from   versionlog.Cursor
+}
+
+// read has one answer: the whole list's next slice, or what is newer.
+func (r *reader) read(ctx context.Context, hold time.Duration) (more bool, err error) {
+	target := fmt.Sprintf("%s?epoch=%d&from=%d&base=%d&hold_ms=%d", relay.InstancesPath, r.from.Epoch, r.from.Index, r.from.Base, hold.Milliseconds())
+	answer, _, err := r.client.Do(ctx, &http1.Message{Method: "GET", Target: target, Header: textproto.MIMEHeader{"Host": {r.client.Address}}})
+	if err != nil {
+		return false, err
+	}
+	if answer.Status != 200 {
+		return false, fmt.Errorf("capacity: the relay answered with %d", answer.Status)
+	}
+	slice, err := versionlog.ParseSlice(answer.Body)
+	if err != nil {
+		return false, err
+	}
+	r.from = r.from.After(slice)
+	return slice.More(), nil
+}
+
+func newReader(address string, from versionlog.Cursor) *reader {
+	return &reader{client: http1.Client{Address: address, Limits: http1.Limits{Head: 4 << 10, Body: relayBody}}, from: from}
+}
+
+// readWhole reads a whole list, slice by slice.
+func readWhole(address string) error {
+	r := newReader(address, versionlog.Cursor{})
+	defer r.client.Close()
+	for {
+		more, err := r.read(context.Background(), time.Millisecond)
+		if err != nil || !more {
+			return err
+		}
+	}
+}
+
+// helpWithReaders has so many readers watch.
+func helpWithReaders(args []string, in *bufio.Reader, out io.Writer) error {
+	var numbers [4]int64
+	for i, text := range args[1:] {
+		var err error
+		if numbers[i], err = strconv.ParseInt(text, 10, 64); err != nil {
+			return err
+		}
+	}
+	from := versionlog.Cursor{Version: versionlog.Version{Epoch: numbers[0], Index: numbers[1]}}
+	hold := time.Duration(numbers[3]) * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range numbers[2] {
+		r := newReader(args[0], from)
+		go func() {
+			defer r.client.Close()
+			for ctx.Err() == nil {
+				if _, err := r.read(ctx, hold); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	if _, err := fmt.Fprintln(out, "reading"); err != nil {
+		return err
+	}
+	return obey(in, out, func() error { return readWhole(args[0]) })
+}
+
+// watched is a relay in this process with readers elsewhere.
+type watched struct {
+	*relaySource
+	readers *helper
+	count   int
+}
+
+func newWatched(nodes, count int, hold time.Duration, helpers Helpers) (*watched, error) {
+	r, err := newRelaySource(nodes)
+	if err != nil {
+		return nil, err
+	}
+	head := r.instances.Head()
+	args := []string{helpReaders, r.listener.Addr().String(), fmt.Sprint(head.Epoch), fmt.Sprint(head.Index), fmt.Sprint(count), fmt.Sprint(hold.Milliseconds())}
+	readers, _, err := startHelper(helpers, args...)
+	if err != nil {
+		r.end()
+		return nil, err
+	}
+	w := &watched{r, readers, count}
+	if err := w.await(int64(count)); err != nil {
+		w.end()
+		return nil, err
+	}
+	return w, nil
+}
+
+func (w *watched) end() {
+	w.readers.close()
+	w.relaySource.end()
+}
+
+var errReaders = errors.New("capacity: not all readers have come back")
+
+// await waits until so many calls have come in, and all readers watch again.
+func (w *watched) await(calls int64) error {
+	for began := time.Now(); time.Since(began) < answerWait; time.Sleep(pollEvery) {
+		if s := w.instances.Status(); s.Calls >= calls && s.Waiting == w.count {
+			return nil
+		}
+	}
+	return errReaders
+}
+
+// relayChange is one changed entry at a relay with so many readers.
+func relayChange(nodes int, helpers Helpers) func(readers int) (*subject, error) {
+	return func(readers int) (*subject, error) {
+		w, err := newWatched(nodes, readers, longHold, helpers)
+		if err != nil {
+			return nil, err
+		}
+		operate := func() error {
+			before := w.instances.Status().Calls
+			if err := w.change(); err != nil {
+				return err
+			}
+			return w.await(before + int64(readers))
+		}
+		before := w.instances.Status()
+		return &subject{unit: time.Microsecond, end: w.end, operate: operate, check: func(operated int) error {
+			after := w.instances.Status()
+			sent, encoded := after.EntriesSent-before.EntriesSent, after.Encoded-before.Encoded
+			if want := int64(operated); sent != want*int64(readers) || encoded != want {
+				return fmt.Errorf("capacity: %d changes for %d readers: %d entries sent, %d answers encoded", operated, readers, sent, encoded)
+			}
+			return nil
+		}}, nil
+	}
+}
+
+// relayIdle is a heartbeat's time at a relay with so many readers and no news, in microseconds a second.
+func relayIdle(nodes int, heartbeat time.Duration, helpers Helpers) func(readers int) (*subject, error) {
+	return func(readers int) (*subject, error) {
+		w, err := newWatched(nodes, readers, heartbeat, helpers)
+		if err != nil {
+			return nil, err
+		}
+		inSecond := time.Duration(heartbeat.Seconds() * float64(time.Microsecond))
+		return &subject{unit: inSecond, once: true, end: w.end, operate: func() error {
+			time.Sleep(heartbeat)
+			return nil
+		}}, nil
+	}
+}
+
+// relayList is one reader's whole list at a relay of so many nodes.
+func relayList(helpers Helpers) func(nodes int) (*subject, error) {
+	return func(nodes int) (*subject, error) {
+		w, err := newWatched(nodes, 0, longHold, helpers)
+		if err != nil {
+			return nil, err
+		}
+		before := w.instances.Status().Snapshots
+		return &subject{unit: time.Microsecond, end: w.end,
+			operate: func() error {
+				_, err := w.readers.say("list")
+				return err
+			},
+			check: func(operated int) error {
+				if begun := w.instances.Status().Snapshots - before; begun != int64(operated) {
+					return fmt.Errorf("capacity: %d whole lists were read, %d begun", operated, begun)
+				}
+				return nil
+			}}, nil
+	}
+}
+
+// relayMemory is live heap and stacks of a relay for so many readers.
+func relayMemory(nodes int, helpers Helpers) func(readers int) (*subject, error) {
+	return func(readers int) (*subject, error) {
+		return &subject{figure: func() (float64, error) {
+			before := settledMemory()
+			w, err := newWatched(nodes, readers, longHold, helpers)
+			if err != nil {
+				return 0, err
+			}
+			defer w.end()
+			after := settledMemory()
+			return (float64(after.HeapAlloc+after.StackInuse) - float64(before.HeapAlloc+before.StackInuse)) / 1e6, nil
+		}}, nil
+	}
+}
--- a/internal/capacity/sockets.go
+++ b/internal/capacity/sockets.go
@@ -1,17 +1,13 @@
 package capacity
 
 import (
-	"bufio"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/netip"
 	"net/textproto"
 	"os"
-	"os/exec"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -22,72 +18,8 @@
 	"harepass/internal/decide/overload"
 	"harepass/internal/http1"
 	"harepass/internal/platform"
-	"harepass/internal/standin"
 )
 
-// Nodes starts data nodes that serve each part after a few milliseconds, and tells the one address that all of them have.
-type Nodes func() (address string, end func(), err error)
-
-// HereNodes has the nodes in this process, whose CPU time then counts theirs too.
-func HereNodes() (address string, end func(), err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", nil, err
-	}
-	go serveNodes(l)
-	return l.Addr().String(), func() { l.Close() }, nil
-}
-
-func serveNodes(l net.Listener) {
-	(&standin.Fleet{Heard: func(string, standin.Kind) {}, Script: func(shard, _ int) standin.Reply {
-		return standin.Reply{After: time.Duration(5+shard*37%15) * time.Millisecond} // apart from each other
-	}}).Frames(l)
-}
-
-// ServeNodes is the process of ChildNodes: it tells its address and serves until its input ends.
-func ServeNodes(in io.Reader, out io.Writer) error {
-	address, end, err := HereNodes()
-	if err != nil {
-		return err
-	}
-	defer end()
-	if _, err := fmt.Fprintln(out, address); err != nil {
-		return err
-	}
-	_, err = io.Copy(io.Discard, in)
-	return err
-}
-
-// ChildNodes has the nodes in a process of their own, which a command of this program starts.
-func ChildNodes(command string) Nodes {
-	return func() (address string, end func(), err error) {
-		self, err := os.Executable()
-		if err != nil {
-			return "", nil, err
-		}
-		cmd := exec.Command(self, command)
-		cmd.Stderr = os.Stderr
-		in, err := cmd.StdinPipe()
-		if err != nil {
-			return "", nil, err
-		}
-		out, err := cmd.StdoutPipe()
-		if err != nil {
-			return "", nil, err
-		}
-		if err := cmd.Start(); err != nil {
-			return "", nil, err
-		}
-		end = func() { in.Close(); cmd.Wait() }
-		line, err := bufio.NewReader(out).ReadString('\n')
-		if err != nil {
-			end()
-			return "", nil, err
-		}
-		return strings.TrimSpace(line), end, nil
-	}
-}
-
 // coordinator is the data path of one: the platform's front, the owner and its connections to nodes. Queries come without a
 // client's connection.
 type coordinator struct {
@@ -98,8 +30,8 @@
 	number int
 }
 
-func newCoordinator(nodes int, start Nodes, gate core.Gate) (*coordinator, error) {
-	address, end, err := start()
+func newCoordinator(nodes int, helpers Helpers, gate core.Gate) (*coordinator, error) {
+	helper, address, err := startHelper(helpers, helpNodes)
 	if err != nil {
 		return nil, err
 	}
@@ -111,14 +43,14 @@
 	owner, err := core.New(core.Config{Seed: 1, Clock: clock, Settings: set, Subscribe: func() {}, Asked: platform.Source, Gate: gate,
 		Callers: map[string]core.Caller{platform.Scheme: caller}})
 	if err != nil {
-		end()
+		helper.close()
 		return nil, err
 	}
 	caller.Owner = owner
 	go owner.Run()
 	owner.Listed(platform.Source, harepass.ListFull, coreNodes(nodes, address))
 	<-owner.Started()
-	return &coordinator{front: &platform.Front{Owner: owner, Clock: clock}, owner: owner, caller: caller, nodes: end}, nil
+	return &coordinator{front: &platform.Front{Owner: owner, Clock: clock}, owner: owner, caller: caller, nodes: helper.close}, nil
 }
 
 func (c *coordinator) end() {
@@ -156,17 +88,17 @@
 }
 
 // queryByParts is a query through the front and the nodes' connections, one after the other.
-func queryByParts(nodes int, start Nodes) func(parts int) (*subject, error) {
-	return func(parts int) (*subject, error) { return socketQuery(nodes, parts, start) }
+func queryByParts(nodes int, helpers Helpers) func(parts int) (*subject, error) {
+	return func(parts int) (*subject, error) { return socketQuery(nodes, parts, helpers) }
 }
 
 // socketQueryByNodes is one of QueryParts parts while the list has so many nodes.
-func socketQueryByNodes(start Nodes) func(nodes int) (*subject, error) {
-	return func(nodes int) (*subject, error) { return socketQuery(nodes, QueryParts, start) }
+func socketQueryByNodes(helpers Helpers) func(nodes int) (*subject, error) {
+	return func(nodes int) (*subject, error) { return socketQuery(nodes, QueryParts, helpers) }
 }
 
-func socketQuery(nodes, parts int, start Nodes) (*subject, error) {
-	c, err := newCoordinator(nodes, start, nil)
+func socketQuery(nodes, parts int, helpers Helpers) (*subject, error) {
+	c, err := newCoordinator(nodes, helpers, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -194,7 +126,7 @@
 
 // refusalByParts is a query of so many parts that is refused.
 func refusalByParts(parts int) (*subject, error) {
-	c, err := newCoordinator(1, HereNodes, refuser{})
+	c, err := newCoordinator(1, HelpHere, refuser{})
 	if err != nil {
 		return nil, err
 	}
@@ -227,12 +159,12 @@
 var errNoConnections = errors.New("capacity: not all connections came up")
 
 // openConnections opens so many by sending a part on each.
-func openConnections(count int, start Nodes) (*connections, error) {
-	address, end, err := start()
+func openConnections(count int, helpers Helpers) (*connections, error) {
+	helper, address, err := startHelper(helpers, helpNodes)
 	if err != nil {
 		return nil, err
 	}
-	c := &connections{address: address, end: end, done: make(chan struct{}), most: int64(count),
+	c := &connections{address: address, end: helper.close, done: make(chan struct{}), most: int64(count),
 		nodes: &platform.Nodes{Streams: 32, ConnectTimeout: answerWait, Quiet: answerWait, KeepAlive: time.Hour}}
 	c.nodes.Owner = c
 	for i, node := range coreNodes(count, address) {
@@ -251,27 +183,27 @@
 }
 
 // connectionMemory is live heap and stacks for so many connections.
-func connectionMemory(start Nodes) func(count int) (*subject, error) {
-	return connectionFigure(start, func(string) (float64, error) {
+func connectionMemory(helpers Helpers) func(count int) (*subject, error) {
+	return connectionFigure(helpers, func(string) (float64, error) {
 		m := settledMemory()
 		return float64(m.HeapAlloc+m.StackInuse) / 1e6, nil
 	})
 }
 
 // connectionDescriptors is how many descriptors so many connections take.
-func connectionDescriptors(start Nodes) func(count int) (*subject, error) {
-	return connectionFigure(start, descriptorsTo)
+func connectionDescriptors(helpers Helpers) func(count int) (*subject, error) {
+	return connectionFigure(helpers, descriptorsTo)
 }
 
 // connectionFigure is by how much a figure is higher with connections to an address than without.
-func connectionFigure(start Nodes, read func(address string) (float64, error)) func(count int) (*subject, error) {
+func connectionFigure(helpers Helpers, read func(address string) (float64, error)) func(count int) (*subject, error) {
 	return func(count int) (*subject, error) {
 		return &subject{figure: func() (float64, error) {
 			before, err := read("")
 			if err != nil {
 				return 0, err
 			}
-			c, err := openConnections(count, start)
+			c, err := openConnections(count, helpers)
 			if err != nil {
 				return 0, err
 			}
--- a/internal/lab/capacity.go
+++ b/internal/lab/capacity.go
@@ -8,13 +8,13 @@
 	"harepass/internal/capacity"
 )
 
-// CapacityNodesCommand is the command of this program that serves the data nodes of the capacity experiment.
-const CapacityNodesCommand = "capacity-nodes"
+// CapacityHelperCommand is the command of this program for the other side of what the capacity experiment measures.
+const CapacityHelperCommand = "capacity-helper"
 
 // Capacity is the experiment: what a coordinator costs by the size of its fleet. Where results are kept, they are the run's
 // JSON and its plot.
 func Capacity(r *Report) error {
-	run, err := capacity.Measure(capacity.Full(capacity.ChildNodes(CapacityNodesCommand)), os.Stderr)
+	run, err := capacity.Measure(capacity.Full(capacity.HelpInProcess(CapacityHelperCommand)), os.Stderr)
 	if err != nil {
 		return err
 	}
