--- a/cmd/harepass/main.go
+++ b/cmd/harepass/main.go
@@ -21,7 +21,7 @@
 // run is the program; it returns the exit status: 2 for bad usage or configuration, 1 for other failures.
 func run(args []string, out, errs io.Writer) int {
 	commands := map[string]func([]string, io.Writer) error{"serve": serve, "check": check, "version": printVersion}
-	err := error(usageError{fmt.Errorf(usage)})
+	err := error(usageError{errors.New(usage)})
 	if len(args) > 0 {
 		if cmd := commands[args[0]]; cmd != nil {
 			err = cmd(args[1:], out)
--- a/internal/lab/vfleet.go
+++ b/internal/lab/vfleet.go
@@ -115,7 +115,6 @@
 	byID     map[string]*vNode
 	members  []*vMember
 	queries  map[string]*vQuery
-	told     []harepass.Replica
 	offered  float64 // worth in the present phase
 	earned   float64
 	attempts int
