Keyed classes: the client's Idempotency-Key goes to the nodes with every attempt

No file knew idempotency keys. One query with the header, sent through either front to either kind of node, reached a frame node as "ID.3 3 d=2000 1" and an API node without the header: what its client had not sent in that form.

The key is read at both fronts, checked and held by the core with the query, and written by both callers with each attempt: k= behind d= in a frame's list, the header towards API nodes. A class is keyed where the settings call its repeats guarded. A missing, empty, doubled, over-long or ill-formed key there is a 400 that names the header; other classes ignore it.

internal/decide/resend now holds what may be sent again, until when and with what key; the module and Attempt.Begin both go by it. Begin took the last moment of the window for past it, the module did not. A query keeps the rule of when it was taken, also over a change of settings.

TestRepeatsBeginInTheirWindow hands its query a key, which a keyed class needs now, and holds the window's end to the millisecond.

--- a/aggregator.go
+++ b/aggregator.go
@@ -557,7 +557,7 @@
 func (a *Aggregator) maySend(p *part) bool {
 	c := p.q.cls
 	return len(p.attempts) == 0 || len(p.attempts) < c.most && a.withinBudget() &&
-		(c.Repeat == Free || !p.mayRun || c.Repeat == Guarded && a.now-p.firstRun <= c.Window)
+		(!p.mayRun || a.now <= c.Resend().Until(p.firstRun))
 }
 
 // withinBudget keeps the stated budget of further attempts.
--- a/api.go
+++ b/api.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"harepass/internal/decide/resend"
 )
 
 // This file is the whole interface of the decision module: what a root tells it (Settings, then
@@ -52,14 +54,17 @@
 	SecondStep int           // parts of a second step, 0 for none
 }
 
+// Resend is what bounds further attempts of a part, and gives them their idempotency key.
+func (c Class) Resend() resend.Policy { return resend.Policy{Kind: c.Repeat, Window: c.Window} }
+
 // Repeat tells how a class bears repeated parts.
-type Repeat int
+type Repeat = resend.Kind
 
 // The kinds of class.
 const (
-	Free Repeat = iota
-	Guarded
-	SingleShot
+	Free       = resend.Free
+	Guarded    = resend.Guarded
+	SingleShot = resend.SingleShot
 )
 
 // Tenant is a customer with a share of the traffic; Quota is in queries a second over all roots.
--- a/internal/core/begin.go
+++ b/internal/core/begin.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"harepass"
+	"harepass/internal/decide/resend"
 )
 
 // This file is what may change between the module's decision to send an attempt and the first byte of it: it waits at its
@@ -27,7 +28,8 @@
 type permit struct {
 	stage atomic.Int32
 	clock Clock
-	until time.Duration   // no first byte after this
+	until time.Duration   // no first byte from then on: its client gives up
+	again time.Duration   // no first byte after this: where an earlier attempt may have run, the end of the window for repeats
 	gone  <-chan struct{} // closed when its client has left
 }
 
@@ -35,8 +37,12 @@
 // called under a lock; it is to be called once, and what it denies ends as Moot.
 func (at *Attempt) Begin() bool {
 	p := &at.permit
-	late := p.clock != nil && p.clock() >= p.until
-	if late || closed(p.gone) {
+	if p.clock != nil {
+		if now := p.clock(); now >= p.until || now > p.again {
+			return false
+		}
+	}
+	if closed(p.gone) {
 		return false
 	}
 	return p.stage.CompareAndSwap(waiting, begun)
@@ -59,14 +65,10 @@
 // again for a time only, inside that.
 func (o *Owner) permitted(at *Attempt) {
 	p := at.part
-	at.permit.clock, at.permit.until, at.permit.gone = o.cfg.Clock, p.q.Until, p.q.gone
-	c := o.set().class(p.q.Class)
-	if c == nil || c.Repeat != harepass.Guarded {
-		return
-	}
+	at.permit.clock, at.permit.until, at.permit.again, at.permit.gone = o.cfg.Clock, p.q.Until, resend.Always, p.q.gone
 	for _, earlier := range p.attempts[:at.no] {
 		if !earlier.never {
-			at.permit.until = min(at.permit.until, earlier.sent+c.Window)
+			at.permit.again = min(at.permit.again, p.q.resend.Until(earlier.sent))
 		}
 	}
 }
--- a/internal/core/begin_test.go
+++ b/internal/core/begin_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -69,11 +70,13 @@
 func TestRepeatsBeginInTheirWindow(t *testing.T) {
 	const window = 300 * ms
 	for outcome, bound := range map[harepass.Outcome]bool{harepass.Errored: true, harepass.Reset: true, harepass.ConnectFailed: false} {
-		for _, late := range []bool{false, true} {
+		for _, past := range []time.Duration{-ms, 0, ms} { // the window's end
 			r := two(t, func(c *Config) {
 				c.Settings.Classes[0].Repeat, c.Settings.Classes[0].Window = harepass.Guarded, window
 			})
-			r.Submit(r.query("free", 0))
+			q := r.query("free", 0)
+			q.Keys = []string{"key"}
+			r.Submit(q)
 			r.pass(0)
 			first := r.hand.last()
 			first.Begin()
@@ -83,11 +86,12 @@
 			if len(r.hand.calls) != 2 {
 				t.Fatalf("after outcome %d there are %d calls, want a repeat at once", outcome, len(r.hand.calls))
 			}
-			if r.pass(window - 51*ms); late {
-				r.pass(2 * ms)
+			r.pass(window - 50*ms + past)
+			if got := r.hand.last().Begin(); got != (past <= 0 || !bound) {
+				t.Errorf("after outcome %d, %v past the window's end: the repeat may begin: %t", outcome, past, got)
 			}
-			if got := r.hand.last().Begin(); got != (!late || !bound) {
-				t.Errorf("after outcome %d, past the window: %t: the repeat may begin: %t", outcome, late, got)
+			if first.Key != "key" || r.hand.last().Key != "key" {
+				t.Errorf("after outcome %d the keys are %q and %q", outcome, first.Key, r.hand.last().Key)
 			}
 		}
 	}
@@ -117,3 +121,41 @@
 		t.Error("an attempt begins after its client has left")
 	}
 }
+
+// A query keeps the rule of repeats and the key of when it was taken: a class that is keyed from now on finds no query
+// without a key, and one that no longer is does not set attempts of earlier queries free.
+func TestRepeatRuleIsThatOfTheArrival(t *testing.T) {
+	const window = 300 * ms
+	configure := func(r *rig, repeat harepass.Repeat) {
+		t.Helper()
+		s := r.set().Settings
+		s.Classes = append([]harepass.Class(nil), s.Classes...)
+		s.Classes[0].Repeat, s.Classes[0].Window = repeat, window
+		done := make(chan error, 1)
+		configured{&facts{s, Limits{}}, done}.apply(r.Owner)
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := two(t, nil)
+	configure(r, harepass.Guarded)
+	r.Submit(r.query("free", 0)) // checked by its front when the class was not keyed
+	r.pass(0)
+	if len(r.hand.calls) > 0 {
+		t.Error("a query without a key is sent in a keyed class")
+	}
+	r.want(t, fmt.Sprintf("%d whole=false []", Invalid))
+	q := r.query("free", 0)
+	q.Keys = []string{"key"}
+	r.Submit(q)
+	r.pass(0)
+	first := r.hand.last()
+	first.Begin()
+	configure(r, harepass.Free)
+	r.pass(50 * ms)
+	r.Ended(first, harepass.Reset, nil)
+	r.pass(window - 49*ms)
+	if again := r.hand.last(); again == first || again.Key != "key" || again.Begin() {
+		t.Error("the repeat is no longer held to its window, or lost its key")
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"harepass"
 	"harepass/internal/decide/maintenance"
 	"harepass/internal/decide/overload"
+	"harepass/internal/decide/resend"
 	"harepass/internal/decide/twophase"
 )
 
@@ -44,12 +45,13 @@
 	Tenant   string
 	Until    time.Duration // when the client gives up, on the owner's clock
 	Retry    bool
-	Whole    bool   // no answer in part is wanted
-	Text     []byte // what each part carries to its node
-	Origin   any    // the front's own form of the query, for callers that know it
-	Admitted bool   // by the gate, as its head told: not counted there again
-	Index    string // not empty where it may be asked in two phases: what its sections' values are kept under
-	None     []byte // then: the value of a section without any hit
+	Whole    bool     // no answer in part is wanted
+	Text     []byte   // what each part carries to its node
+	Keys     []string // values of the client's resend.Header, one for each line; of use in keyed classes only
+	Origin   any      // the front's own form of the query, for callers that know it
+	Admitted bool     // by the gate, as its head told: not counted there again
+	Index    string   // not empty where it may be asked in two phases: what its sections' values are kept under
+	None     []byte   // then: the value of a section without any hit
 	Parts    []Part
 	Done     func(Answer)
 
@@ -97,6 +99,7 @@
 	Class   string
 	Shard   int
 	Text    []byte
+	Key     string // the query's idempotency key; empty in a class that is not keyed
 	Origin  any
 	Timeout time.Duration
 	Node    string
@@ -219,6 +222,8 @@
 	*Query
 	id     string
 	number int64
+	resend resend.Policy // of its class when it was taken
+	key    string        // its idempotency key; empty in a class that is not keyed
 	taken  time.Duration
 	bytes  int64
 	parts  []*part
@@ -388,12 +393,18 @@
 		m.q.Done(Answer{Verdict: Refused, RetryIn: o.set().RetryAdvice})
 		return
 	}
+	policy := o.set().resendPolicy(m.q.Class) // the front's check may have gone by older settings
+	key, err := policy.Key(m.q.Keys)
+	if err != nil {
+		m.q.Done(Answer{Verdict: Invalid, Reason: err.Error()})
+		return
+	}
 	if o.drainEnd > 0 {
 		m.q.Until = min(m.q.Until, o.drainEnd)
 	}
 	o.held += size
 	o.next++
-	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10), number: o.next, taken: o.now}
+	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10), number: o.next, resend: policy, key: key, taken: o.now}
 	o.queries[q.id], o.byQuery[m.q] = q, q
 	o.hold(q, int64(queryBytes+len(q.Text)+partBytes*len(q.Parts)))
 	q.due = o.deadlines.add(q.Until+overdue, func() { o.overdue(q) })
@@ -630,7 +641,7 @@
 	if p == nil {
 		return nil
 	}
-	at := &Attempt{Query: p.q.ID, Class: p.q.Class, Shard: p.shard, Text: p.q.Text, Origin: p.q.Origin,
+	at := &Attempt{Query: p.q.ID, Class: p.q.Class, Shard: p.shard, Text: p.q.Text, Key: p.q.key, Origin: p.q.Origin,
 		Timeout: a.Timeout, Node: a.Replica, part: p, no: len(p.attempts), sent: o.now}
 	p.attempts = append(p.attempts, at)
 	o.permitted(at)
@@ -667,6 +678,9 @@
 	default:
 		q.Until = min(q.Until, now+class.Deadline)
 	}
+	if _, err := class.Resend().Key(q.Keys); err != nil {
+		return err.Error()
+	}
 	sum, seen := 0.0, map[int]bool{}
 	for _, p := range q.Parts {
 		switch {
--- a/internal/core/settings.go
+++ b/internal/core/settings.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"harepass"
+	"harepass/internal/decide/resend"
 )
 
 // This file is how the owner's settings change while it serves.
@@ -29,6 +30,14 @@
 	return nil
 }
 
+// resendPolicy is that of a class in force by its name; without any bound if there is none.
+func (f *facts) resendPolicy(name string) resend.Policy {
+	if c := f.class(name); c != nil {
+		return c.Resend()
+	}
+	return resend.Policy{}
+}
+
 // servable tells what this program does not serve.
 func servable(s harepass.Settings) error {
 	for _, c := range s.Classes {
--- /dev/null
+++ b/internal/decide/resend/resend_test.go
@@ -0,0 +1,51 @@
+package resend
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestKey(t *testing.T) {
+	for _, tc := range []struct {
+		values []string
+		want   error
+	}{
+		{[]string{"5c0f6e1a2b3d4c59a8b7c6d5e4f30211"}, nil},
+		{[]string{"8e03978e-40d5-43dd-bc93-6894a57f9324"}, nil},
+		{[]string{"claims/2026:4+1~a_b.c"}, nil},
+		{[]string{strings.Repeat("k", MaxKeyLength)}, nil},
+		{nil, ErrMissingKey},
+		{[]string{""}, ErrEmptyKey},
+		{[]string{"a", "a"}, ErrRepeatedKey},
+		{[]string{strings.Repeat("k", MaxKeyLength+1)}, ErrLongKey},
+		{[]string{"a b"}, ErrMalformedKey},
+		{[]string{"a,d=1"}, ErrMalformedKey},
+		{[]string{"a, b"}, ErrMalformedKey},
+		{[]string{"a="}, ErrMalformedKey},
+		{[]string{`"a"`}, ErrMalformedKey},
+		{[]string{"a\x00"}, ErrMalformedKey},
+		{[]string{"schlüssel"}, ErrMalformedKey},
+		{[]string{"a\xff"}, ErrMalformedKey},
+	} {
+		key, err := Policy{Kind: Guarded}.Key(tc.values)
+		if !errors.Is(err, tc.want) || err == nil && key != tc.values[0] || err != nil && (key != "" || !strings.HasPrefix(err.Error(), Header)) {
+			t.Errorf("%q: key %q, %v; want %v", tc.values, key, err, tc.want)
+		}
+		for _, kind := range []Kind{Free, SingleShot} {
+			if key, err := (Policy{Kind: kind}).Key(tc.values); key != "" || err != nil {
+				t.Errorf("%q in a class that is not keyed: key %q, %v", tc.values, key, err)
+			}
+		}
+	}
+}
+
+func TestUntil(t *testing.T) {
+	const firstRun, window = 7 * time.Second, 4 * time.Second
+	for kind, want := range map[Kind]time.Duration{Free: Always, Guarded: firstRun + window, SingleShot: Never} {
+		if got := (Policy{kind, window}).Until(firstRun); got != want {
+			t.Errorf("kind %d: %v, want %v", kind, got, want)
+		}
+	}
+}
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -14,6 +14,7 @@
 
 	"harepass/internal/core"
 	"harepass/internal/decide/overload"
+	"harepass/internal/decide/resend"
 	"harepass/internal/http1"
 )
 
@@ -153,11 +154,12 @@
 }
 
 // query is the core's query for an index, of a client that the gate has let in; timeout 0 leaves the client its class's whole time.
-func (f *Front) query(ix *Index, tenant string, timeout time.Duration) *core.Query {
+func (f *Front) query(req *http1.Message, ix *Index, tenant string, timeout time.Duration) *core.Query {
 	if timeout == 0 || timeout > ix.deadline {
 		timeout = ix.deadline
 	}
-	return &core.Query{ID: fmt.Sprintf("%016x", rand.Uint64()), Class: ix.Class, Tenant: tenant, Until: f.Clock() + timeout, Admitted: true}
+	return &core.Query{ID: fmt.Sprintf("%016x", rand.Uint64()), Class: ix.Class, Tenant: tenant, Until: f.Clock() + timeout,
+		Keys: req.Header[resend.Header], Admitted: true}
 }
 
 func (f *Front) search(req *http1.Message, name string, params url.Values, gone <-chan struct{}) (*http1.Message, *apiError) {
@@ -182,7 +184,7 @@
 		return nil, err
 	}
 	began := f.Clock()
-	q := f.query(ix, tenant, s.timeout)
+	q := f.query(req, ix, tenant, s.timeout)
 	q.Whole, q.Text, q.Origin = !s.partial, s.body, s
 	if ix.TwoPhase != nil {
 		q.Index, q.None = ix.name, noHits
@@ -236,7 +238,7 @@
 	if err != nil {
 		return nil, err
 	}
-	q := f.query(ix, tenant, r.timeout)
+	q := f.query(req, ix, tenant, r.timeout)
 	if r.id == "" {
 		r.id = q.ID
 	}
--- /dev/null
+++ b/internal/opensearch/keys_test.go
@@ -0,0 +1,296 @@
+package opensearch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/decide/resend"
+	"harepass/internal/http1"
+	"harepass/internal/opensearch"
+	"harepass/internal/platform"
+	"harepass/internal/standin"
+)
+
+const key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+
+// keyedWorld is a coordinator with both fronts before two nodes of one kind that hold all, on real sockets. Its classes
+// are one of each kind: free, keyed and once.
+type keyedWorld struct {
+	*testing.T
+	owner *core.Owner
+	fleet *standin.Fleet
+	nodes []core.Node
+	slow  *slow
+	front map[string]string // addresses, by the protocol's Scheme
+}
+
+func newKeyedWorld(t *testing.T, scheme string, script func(shard, try int) standin.Reply) *keyedWorld {
+	class := func(name string, repeat harepass.Repeat) harepass.Class {
+		return harepass.Class{Name: name, Aim: 2 * time.Second, Deadline: 4 * time.Second, Worth: 1, LateWorth: 0.3,
+			Need: 1, Floor: 1, Repeat: repeat, Window: 4 * time.Second}
+	}
+	s := harepass.Settings{Roots: 1, Cells: 1, Reach: 1, CallBatch: 1, Turn: 5 * ms, MaxAttempts: 3, Cancel: true, SecondCopies: true,
+		RetryAdvice: time.Second, Classes: []harepass.Class{class("free", harepass.Free), class("keyed", harepass.Guarded), class("once", harepass.SingleShot)}}
+	c := &opensearch.Config{Listen: "front", SectionField: "section", All: "free", Indices: map[string]*opensearch.Index{
+		"free": {Class: "free"}, "keyed": {Class: "keyed", Reports: true}, "lookup": {Class: "keyed"}, "once": {Class: "once", Reports: true}}}
+	if err := c.Check(s, shards); err != nil {
+		t.Fatal(err)
+	}
+	w := &keyedWorld{T: t, fleet: &standin.Fleet{Script: script}, front: map[string]string{},
+		slow: &slow{held: map[string]chan struct{}{}, came: make(chan string, 100)}}
+	frames := &platform.Nodes{Streams: 32, ConnectTimeout: 20 * time.Second, Quiet: time.Second, KeepAlive: 30 * time.Second, Dial: w.slow.dial}
+	calls := &opensearch.Nodes{Config: c, ConnectTimeout: 20 * time.Second, KeepAlive: 30 * time.Second, Dial: w.slow.dial}
+	clock := core.SystemClock()
+	var err error
+	w.owner, err = core.New(core.Config{Seed: 1, Settings: s, Clock: clock, Subscribe: func() {}, Asked: "test",
+		Callers: map[string]core.Caller{platform.Scheme: frames, opensearch.Scheme: calls}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	frames.Owner, calls.Owner = w.owner, w.owner
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		return l
+	}
+	for i := range 2 {
+		l := listen()
+		if scheme == platform.Scheme {
+			go w.fleet.Frames(l)
+		} else {
+			go w.fleet.API(l)
+		}
+		w.nodes = append(w.nodes, core.Node{Replica: harepass.Replica{ID: fmt.Sprint("n", i)}, Address: l.Addr().String(), Scheme: scheme})
+	}
+	for front, server := range map[string]*http1.Server{
+		platform.Scheme:   {Handler: (&platform.Front{Owner: w.owner, Clock: clock}).Handle, Limits: http1.DefaultLimits},
+		opensearch.Scheme: {Handler: (&opensearch.Front{Config: c, Owner: w.owner, Clock: clock}).Handle, Fault: opensearch.Fault, Limits: http1.DefaultLimits},
+	} {
+		l := listen()
+		w.front[front] = l.Addr().String()
+		go server.Serve(l)
+		t.Cleanup(func() { server.Shutdown() })
+	}
+	go w.owner.Run()
+	w.owner.Listed("test", harepass.ListFull, w.nodes)
+	t.Cleanup(func() {
+		w.owner.Stop()
+		frames.Close()
+		calls.Close()
+	})
+	return w
+}
+
+// ask sends a query of one part to a front, on a connection of its own, with the keys that are given.
+func (w *keyedWorld) ask(front, class string, keys ...string) (status int, answer string) {
+	w.Helper()
+	target, body := "/api", `{"slices":[{"slice":3,"mass":1}],"filter":"f"}`
+	if front == opensearch.Scheme {
+		target, body = "/"+class+"/_doc", `{"section":3,"pin":"x"}`
+		if class == "free" || class == "lookup" {
+			target, body = "/"+class+"/_search", `{"query":{"term":{"section":3}}}`
+		}
+	}
+	return w.send(front, "POST", target, class, body, keys...)
+}
+
+func (w *keyedWorld) send(front, method, target, class, body string, keys ...string) (status int, answer string) {
+	w.Helper()
+	req, err := http.NewRequest(method, "http://"+w.front[front]+target, strings.NewReader(body))
+	if err != nil {
+		w.Fatal(err)
+	}
+	req.Close = true
+	req.Header = http.Header{"X-Call-Id": {fmt.Sprint(time.Now().UnixNano())}, "X-Call-Class": {class}, "X-Budget": {"3900m"}}
+	if keys != nil {
+		req.Header[resend.Header] = keys
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	res, err := http.DefaultClient.Do(req.WithContext(ctx))
+	if err != nil {
+		w.Fatal(err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		w.Fatal(err)
+	}
+	return res.StatusCode, string(data)
+}
+
+// keysSeen are the keys that came with the attempts that reached nodes, in order; empty where none did.
+func (w *keyedWorld) keysSeen() (keys []string) {
+	for _, line := range w.fleet.Seen() {
+		_, after, found := strings.Cut(line, " key=")
+		if !found {
+			_, after, _ = strings.Cut(line, ",k=")
+		}
+		k, _, _ := strings.Cut(after, " ")
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+// eachWay runs a test for queries of either front that go to either kind of node.
+func eachWay(t *testing.T, run func(t *testing.T, front, scheme string)) {
+	for _, front := range []string{platform.Scheme, opensearch.Scheme} {
+		for _, scheme := range []string{platform.Scheme, opensearch.Scheme} {
+			t.Run(front+" front, "+scheme+" nodes", func(t *testing.T) {
+				t.Parallel()
+				run(t, front, scheme)
+			})
+		}
+	}
+}
+
+func good(status int) bool { return status == 200 || status == 201 }
+
+// The key that a client gives a query of a keyed class goes to the node with every attempt, whatever the one before came
+// to.
+func TestKeyComesWithEveryAttempt(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first    standin.Reply
+		attempts int
+	}{
+		"served":      {standin.Reply{}, 1},
+		"reset":       {standin.Reply{Kind: standin.Break}, 2},
+		"error":       {standin.Reply{Kind: standin.Fail}, 2},
+		"turned away": {standin.Reply{Kind: standin.Reject}, 2},
+		"spoilt":      {standin.Reply{Kind: standin.Spoil}, 2},
+		"silent":      {standin.Reply{Kind: standin.Silent}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			eachWay(t, func(t *testing.T, front, scheme string) {
+				w := newKeyedWorld(t, scheme, func(_, try int) standin.Reply {
+					if try == 0 {
+						return tc.first
+					}
+					return standin.Reply{}
+				})
+				if status, answer := w.ask(front, "keyed", key); !good(status) {
+					t.Errorf("%d %s", status, answer)
+				}
+				if got, want := w.keysSeen(), slices.Repeat([]string{key}, tc.attempts); !slices.Equal(got, want) {
+					t.Errorf("attempts came with the keys %q, want %q", got, want)
+				}
+			})
+		})
+	}
+}
+
+// A part whose node leaves before its first byte is out goes to another one with the same key.
+func TestKeyComesAlongWhenANodeLeaves(t *testing.T) {
+	eachWay(t, func(t *testing.T, front, scheme string) {
+		w := newKeyedWorld(t, scheme, nil)
+		let := make(chan struct{})
+		defer close(let)
+		w.slow.mu.Lock()
+		for _, n := range w.nodes {
+			w.slow.held[n.Address] = let
+		}
+		w.slow.mu.Unlock()
+		done := make(chan int)
+		go func() {
+			status, _ := w.ask(front, "keyed", key)
+			done <- status
+		}()
+		address := <-w.slow.came
+		leaving := slices.IndexFunc(w.nodes, func(n core.Node) bool { return n.Address == address })
+		w.slow.mu.Lock()
+		delete(w.slow.held, w.nodes[1-leaving].Address)
+		w.slow.mu.Unlock()
+		n := w.nodes[leaving]
+		n.State = harepass.Draining
+		w.owner.Listed("test", harepass.ListChanges, []core.Node{n})
+		if status := <-done; !good(status) {
+			t.Errorf("status %d", status)
+		}
+		if got := w.keysSeen(); !slices.Equal(got, []string{key}) {
+			t.Errorf("attempts came with the keys %q", got)
+		}
+	})
+}
+
+// A client's own retry is a query of its own, with a new id: its key goes to the nodes as it did the first time.
+func TestKeyOfAClientsRetry(t *testing.T) {
+	eachWay(t, func(t *testing.T, front, scheme string) {
+		w := newKeyedWorld(t, scheme, nil)
+		for range 2 {
+			if status, answer := w.ask(front, "keyed", key); !good(status) {
+				t.Errorf("%d %s", status, answer)
+			}
+		}
+		if got := w.keysSeen(); !slices.Equal(got, []string{key, key}) {
+			t.Errorf("attempts came with the keys %q", got)
+		}
+		if seen := w.fleet.Seen(); seen[0] == seen[1] {
+			t.Errorf("both attempts are %q", seen[0])
+		}
+	})
+}
+
+// Without a key that can be passed on as it is, a query of a keyed class is turned away at the front, with the header's
+// name, and no node hears of it.
+func TestBadKeys(t *testing.T) {
+	eachWay(t, func(t *testing.T, front, scheme string) {
+		w := newKeyedWorld(t, scheme, nil)
+		for name, keys := range map[string][]string{"none": nil, "empty": {""}, "blank": {"  "}, "two": {key, key}, "two in a line": {key + ", " + key},
+			"too long": {strings.Repeat("k", 129)}, "far too long": {strings.Repeat("k", 9000)}, "a list's comma": {"a,d=1"}, "a space": {"a b"},
+			"quoted": {`"` + key + `"`}, "a tab": {"a\tb"}, "no ASCII": {"schlüssel"}, "no UTF-8": {"a\xff"}} {
+			if status, answer := w.ask(front, "keyed", keys...); status != 400 || !strings.Contains(answer, resend.Header) {
+				t.Errorf("%s: %d %s", name, status, answer)
+			}
+		}
+		if front == opensearch.Scheme {
+			if status, answer := w.ask(front, "lookup"); status != 400 || !strings.Contains(answer, resend.Header) {
+				t.Errorf("a search in a keyed class without a key: %d %s", status, answer)
+			}
+		}
+		if seen := w.fleet.Seen(); len(seen) > 0 {
+			t.Errorf("nodes were asked %q", seen)
+		}
+	})
+}
+
+// Where the class is not keyed the header says nothing, be it ill-formed, and no node sees it.
+func TestKeyOfAClassWithoutKeys(t *testing.T) {
+	eachWay(t, func(t *testing.T, front, scheme string) {
+		w := newKeyedWorld(t, scheme, nil)
+		for _, class := range []string{"free", "once"} {
+			for _, keys := range [][]string{nil, {key}, {""}, {"a,d=1"}, {key, key}} {
+				if status, answer := w.ask(front, class, keys...); !good(status) {
+					t.Errorf("%s %q: %d %s", class, keys, status, answer)
+				}
+			}
+		}
+		if got, want := w.keysSeen(), make([]string, 10); !slices.Equal(got, want) {
+			t.Errorf("attempts came with the keys %q", got)
+		}
+	})
+}
+
+// A document's id goes to the node as its client gave it, with the key beside it.
+func TestKeyBesideADocumentsID(t *testing.T) {
+	w := newKeyedWorld(t, opensearch.Scheme, nil)
+	for target, want := range map[string]string{"/keyed/_doc/claim-7": "PUT /keyed/_doc/claim-7?routing=3&", "/keyed/_create/claim-8": "PUT /keyed/_create/claim-8?routing=3&"} {
+		status, answer := w.send(opensearch.Scheme, "PUT", target, "keyed", `{"section":3,"pin":"x"}`, key)
+		seen := w.fleet.Seen()
+		if last := seen[len(seen)-1]; status != 201 || !strings.HasPrefix(last, want) || !strings.HasSuffix(last, " key="+key) {
+			t.Errorf("%s: %d %s; the node was asked %q", target, status, answer, last)
+		}
+	}
+}
--- a/internal/opensearch/nodes.go
+++ b/internal/opensearch/nodes.go
@@ -13,6 +13,7 @@
 
 	"harepass"
 	"harepass/internal/core"
+	"harepass/internal/decide/resend"
 	"harepass/internal/http1"
 )
 
@@ -146,6 +147,9 @@
 		return harepass.Moot, nil
 	}
 	req.Header.Set("Host", to.Address)
+	if at.Key != "" {
+		req.Header.Set(resend.Header, at.Key)
+	}
 	c, err := n.connect(ctx, nd, to.Address)
 	if err != nil {
 		if ctx.Err() != nil || errors.Is(err, syscall.EMFILE) { // which tells of us, not of the node
--- a/internal/platform/frame.go
+++ b/internal/platform/frame.go
@@ -52,7 +52,11 @@
 
 // appendPart writes one part of a call.
 func appendPart(b []byte, at *core.Attempt) []byte {
-	b = fmt.Appendf(b, "%s %d d=%d %d\n", partID(at), at.Shard, max(1, at.Timeout.Milliseconds()), len(at.Text))
+	b = fmt.Appendf(b, "%s %d d=%d", partID(at), at.Shard, max(1, at.Timeout.Milliseconds()))
+	if at.Key != "" {
+		b = fmt.Appendf(b, ",k=%s", at.Key)
+	}
+	b = fmt.Appendf(b, " %d\n", len(at.Text))
 	return append(b, at.Text...)
 }
 
--- a/internal/standin/api.go
+++ b/internal/standin/api.go
@@ -56,7 +56,11 @@
 
 func (f *Fleet) api(w http.ResponseWriter, r *http.Request, shard, status int, serve func() string) {
 	io.Copy(io.Discard, r.Body) // only then does the server notice a client that leaves
-	reply := f.take(shard, r.Method+" "+r.URL.String())
+	what := r.Method + " " + r.URL.String()
+	if key := r.Header.Values("Idempotency-Key"); len(key) > 0 {
+		what += " key=" + strings.Join(key, ",")
+	}
+	reply := f.take(shard, what)
 	if reply.Kind == Silent {
 		<-r.Context().Done()
 		return
