Frame nodes' caller split by concern: connections, their writer, their reader

nodes.go had 606 lines with the pool of connections, one connection's state, its writer and its reader in it. No line of code differs: the sorted lines of the four files, package clauses and imports apart, are those of the old one; the package's tests pass.

--- /dev/null
+++ b/internal/platform/node_writer.go
@@ -0,0 +1,161 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"slices"
+	"syscall"
+	"time"
+
+	"harepass"
+)
+
+// run connects, writes what is queued, and ends what is left when the connection breaks.
+func (c *nodeConn) run() {
+	defer c.finish()
+	c.nodes.mu.Lock()
+	opening := c.nodes.opening
+	c.nodes.mu.Unlock()
+	if opening != nil {
+		opening()
+	}
+	timeout, _, _ := c.nodes.times()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	conn, err := c.nodes.Dial.Connect(ctx, c.address)
+	cancel()
+	if err != nil {
+		slog.Debug("connect", "node", c.node, "err", err)
+		if errors.Is(err, syscall.EMFILE) { // that tells of us, not of the node
+			c.nodes.mu.Lock()
+			c.spoilt = true
+			c.nodes.mu.Unlock()
+		}
+		return
+	}
+	defer conn.Close()
+	c.nodes.mu.Lock()
+	c.c = conn
+	closed := c.closed
+	c.nodes.mu.Unlock()
+	slog.Debug("connection", "node", c.node)
+	if closed {
+		return
+	}
+	reading := make(chan struct{})
+	go func() {
+		defer close(reading)
+		c.read(conn)
+		c.nodes.mu.Lock()
+		c.shut()
+		c.nodes.mu.Unlock()
+	}()
+	for c.write(conn) {
+	}
+	conn.Close()
+	<-reading
+}
+
+// finish tells the outcome of all that was still out when the writer has ended, for only then it is known
+// what may have run. A connection that the node broke resets it. One that we closed because of a spoilt answer
+// fails the part whose answer that was and takes the others back: that tells nothing of the node's health.
+func (c *nodeConn) finish() {
+	c.nodes.mu.Lock()
+	c.shut()
+	rest := slices.Clone(c.out)
+	for _, s := range rest {
+		c.settle(s)
+	}
+	c.nodes.mu.Unlock()
+	for _, s := range rest {
+		outcome := harepass.ConnectFailed
+		switch {
+		case s == c.guilty:
+			outcome = harepass.Errored
+		case c.spoilt && s.state == written:
+			outcome = harepass.Cancelled
+		case c.spoilt:
+			outcome = harepass.Moot
+		case s.state == written:
+			outcome = harepass.Reset
+		}
+		c.nodes.Owner.Ended(s.at, outcome, nil)
+	}
+}
+
+// write waits for something to write and writes it; false means that the connection is over.
+func (c *nodeConn) write(conn net.Conn) bool {
+	<-c.wake
+	for {
+		c.nodes.mu.Lock()
+		if c.closed {
+			c.nodes.mu.Unlock()
+			return false
+		}
+		if len(c.queue) == 0 {
+			c.nodes.mu.Unlock()
+			return true
+		}
+		call := c.queue[0]
+		c.queue = c.queue[1:]
+		var done *sending
+		outcome := harepass.Cancelled
+		var frame []byte
+		var parts, denied []*sending
+		if s := call.giveUp; s != nil {
+			if slices.Contains(c.out, s) {
+				done = s
+				if s.state == queued { // skipped below, should its call still come
+					outcome = harepass.Moot
+				} else {
+					frame = appendFrame(nil, frameGiveUp, []byte(s.id))
+				}
+			}
+		} else {
+			for _, s := range call.parts {
+				switch {
+				case s.givenUp: // its word comes behind
+				case s.at.Begin():
+					s.state = begun
+					parts = append(parts, s)
+				default:
+					denied = append(denied, s)
+				}
+			}
+			frame = callFrame(parts)
+		}
+		c.nodes.mu.Unlock()
+		for _, s := range denied {
+			c.end(s, harepass.Moot, nil)
+		}
+		if frame != nil {
+			n, err := conn.Write(frame)
+			if n == len(frame) {
+				c.nodes.mu.Lock()
+				for _, s := range parts {
+					s.state, s.sent = written, time.Now()
+				}
+				c.nodes.mu.Unlock()
+			}
+			if err != nil {
+				return false
+			}
+		}
+		if done != nil {
+			c.end(done, outcome, nil)
+		}
+	}
+}
+
+// callFrame is the frame of a call's parts, nil if none is left.
+func callFrame(parts []*sending) []byte {
+	if len(parts) == 0 {
+		return nil
+	}
+	var rest []byte
+	for _, s := range parts {
+		rest = appendPart(rest, s.at)
+	}
+	return appendFrame(nil, frameCall, rest)
+}
