--- a/internal/decide/admission/budget.go
+++ b/internal/decide/admission/budget.go
@@ -10,8 +10,12 @@
 // burstTime is for how long unused bytes are saved.
 const burstTime = 500 * time.Millisecond
 
+// overbooking is how many readers are given the same place: some of them have been served elsewhere by then, and one that
+// finds the bucket empty again loses a short call, while a place that nobody takes is lost for all.
+const overbooking = 2
+
 // Budget is a token bucket of bytes. A transfer is admitted while the bucket is not empty and may take it below zero.
-// Readers that are refused are given consecutive places in the time after that, each as long as its transfer takes.
+// Readers that are refused are given consecutive places in the time after that.
 type Budget struct {
 	rate   float64       // bytes a second
 	tokens float64       // bytes that may be sent now
@@ -38,7 +42,7 @@
 	if wait > MaxWait {
 		return MaxWait/2 + time.Duration(draw*float64(MaxWait/2)), false
 	}
-	b.booked += b.timeFor(float64(bytes))
+	b.booked += b.timeFor(float64(bytes)) / overbooking
 	return wait, false
 }
 
