Rig: fleet.go split into members, nodes, steps, endpoints and the verdict

Each now has a file of its own, and records.go gives up its timeline and its verdict. Fleet and Host opened a listener behind a link with the same twenty lines; both use endpoints now. Node states are typed constants instead of strings, grow is two functions, and names say what they are (startMember, awaitServing, healAll, setState, knownSize, withdrawn). The exported functions keep their names, and the scenarios play as they did.

--- a/internal/rig/host.go
+++ b/internal/rig/host.go
@@ -41,11 +41,11 @@
 	Discovery *Link
 	Told      atomic.Int32 // answers of discovery, each given when its watch ends
 
-	closers []func() error
-	mu      sync.Mutex
-	out     map[int]time.Time // nodes taken out by hand, and when that was confirmed
-	stray   []string          // parts that reached such a node too late
-	all     []*Process
+	opened endpoints
+	mu     sync.Mutex
+	out    map[int]time.Time // nodes taken out by hand, and when that was confirmed
+	stray  []string          // parts that reached such a node too late
+	all    []*Process
 }
 
 // Node is a stand-in node behind a link.
@@ -62,29 +62,15 @@
 		return nil, err
 	}
 	h.Clients = clients.(*net.TCPListener)
-	h.closers = append(h.closers, clients.Close)
-	behind := func(serve func(net.Listener)) (*Link, error) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		h.closers = append(h.closers, l.Close)
-		go serve(l)
-		k, err := NewLink(l.Addr().String())
-		if err == nil {
-			h.closers = append(h.closers, func() error { k.Close(); return nil })
-		}
-		return k, err
-	}
 	for i := range c.Nodes {
 		n := &Node{}
 		n.Script = func(int, int) standin.Reply { return h.script(i) }
-		if n.Link, err = behind(n.Frames); err != nil {
+		if n.Link, err = h.opened.serveBehindLink(NewLink, n.Frames); err != nil {
 			return nil, errors.Join(err, h.Close())
 		}
 		h.Nodes = append(h.Nodes, n)
 	}
-	h.Discovery, err = behind(func(l net.Listener) { standin.Discovery(l, h.list) })
+	h.Discovery, err = h.opened.serveBehindLink(NewLink, func(l net.Listener) { standin.Discovery(l, h.list) })
 	if err == nil {
 		err = h.Configure(c.Settings)
 	}
@@ -100,10 +86,7 @@
 		p.Process.Kill()
 		<-p.Over
 	}
-	for _, c := range h.closers {
-		err = errors.Join(err, c())
-	}
-	return err
+	return errors.Join(err, h.Clients.Close(), h.opened.close())
 }
 
 // Path is the configuration's file.
--- /dev/null
+++ b/internal/rig/node.go
@@ -0,0 +1,116 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"harepass/internal/standin"
+)
+
+// NodeState is how a node behaves, as a scenario's steps name it.
+type NodeState string
+
+// The states of a node. nodeBack is an event: a new process begins, cold, and is sound from then on.
+const (
+	nodeSound   NodeState = "sound"
+	nodeHung    NodeState = "hung"
+	nodeFailing NodeState = "failing"
+	nodeDrained NodeState = "drained"
+	nodeGone    NodeState = "gone"
+	nodeBack    NodeState = "back"
+)
+
+// registryStatus is the status under which discovery lists a node from a state on; other states leave it as it was.
+var registryStatus = map[NodeState]string{nodeDrained: "terminating", nodeGone: "terminated", nodeBack: statusInService}
+
+const statusInService = "in_service"
+
+// fleetNode is a node that all coordinators reach, each by a link of its own.
+type fleetNode struct {
+	name  string
+	entry standin.Entry
+
+	mu      sync.Mutex
+	machine standin.Machine
+	state   NodeState
+}
+
+// nodeRules are the platform's rules on nodes, of the settings: how they start and fall over, and how soon one that leaves
+// may no longer be sent to.
+type nodeRules struct {
+	Start  float64 `json:"start_capacity"`
+	Warm   int64   `json:"warm_within_us"`
+	Fall   float64 `json:"fall_multiple"`
+	Window int64   `json:"fall_us"`
+	Grace  int64   `json:"stop_sending_within_us"`
+}
+
+func readNodeRules(settings []byte) (nodeRules, error) {
+	var s struct{ Rules nodeRules }
+	err := json.Unmarshal(settings, &s)
+	return s.Rules, err
+}
+
+// grace is how long after the word that it drains a node may still be sent to; a second where the settings say nothing.
+func (r nodeRules) grace() time.Duration {
+	if r.Grace == 0 {
+		return time.Second
+	}
+	return time.Duration(r.Grace) * time.Microsecond
+}
+
+const (
+	nodeCores = 2
+	nodeQueue = 40 // parts that wait at a node; more are turned away
+)
+
+// newFleetNode is the node of a number: sound, warm and listed.
+func newFleetNode(number int, work time.Duration, rules nodeRules) *fleetNode {
+	n := &fleetNode{name: fmt.Sprint("n", number), state: nodeSound}
+	n.entry = standin.Entry{Name: n.name, Zone: fmt.Sprint("z", number%holdersPerSection), Type: "m", Group: number, Status: statusInService, Weight: 1}
+	n.machine = standin.Machine{Work: work, Cores: nodeCores, Queue: nodeQueue, Start: rules.Start, Warm: time.Duration(rules.Warm) * time.Microsecond,
+		Fall: rules.Fall, Window: time.Duration(rules.Window) * time.Microsecond}
+	return n
+}
+
+// reply is what a node does with a part that has just come.
+func (f *Fleet) reply(n *fleetNode) standin.Reply {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch n.state {
+	case nodeHung:
+		return standin.Reply{Kind: standin.Silent}
+	case nodeFailing:
+		return standin.Reply{Kind: standin.Fail}
+	case nodeGone:
+		return standin.Reply{Kind: standin.Break}
+	}
+	now := f.at()
+	end, taken := n.machine.Take(now)
+	if !taken || n.state == nodeDrained {
+		return standin.Reply{Kind: standin.Reject}
+	}
+	return standin.Reply{After: end - now}
+}
+
+// setState changes a node, and the registry where the new state is one that discovery knows of.
+func (f *Fleet) setState(n *fleetNode, state NodeState) {
+	n.mu.Lock()
+	n.state = state
+	status := registryStatus[state]
+	if state == nodeBack {
+		n.state = nodeSound
+		n.machine.Restart(f.at())
+		n.entry.SinceMS = time.Now().UnixMilli()
+	}
+	if status != "" {
+		n.entry.Status = status
+	}
+	e := n.entry
+	n.mu.Unlock()
+	if status != "" {
+		f.registry.Put(e)
+	}
+}
--- /dev/null
+++ b/internal/rig/play.go
@@ -0,0 +1,219 @@
+package rig
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Play plays the scenario and returns what did not hold. The timeline tells the rest.
+func (f *Fleet) Play() error {
+	for _, m := range f.running() {
+		if err := f.awaitServing(m); err != nil {
+			return err
+		}
+	}
+	f.Note("rig", "%d coordinators serve", len(f.running()))
+	began := time.Now()
+	for _, st := range f.Steps {
+		time.Sleep(st.At - time.Since(began))
+		if err := f.playStep(st); err != nil {
+			return err
+		}
+	}
+	time.Sleep(f.Lasts - time.Since(began))
+	f.healAll()
+	err := f.awaitWholeSummaries()
+	for _, m := range f.members {
+		if m.crowd != nil {
+			m.crowd.End()
+		}
+	}
+	return errors.Join(err, f.stopAll(f.running()), f.verdict())
+}
+
+// playStep does one step.
+func (f *Fleet) playStep(st Step) error {
+	switch {
+	case st.Kill != "":
+		return f.eachRunning(st.Kill, "kill", func(m *Member) error { f.kill(m); return nil })
+	case st.Stop != "":
+		return f.eachRunning(st.Stop, "stop", f.stop)
+	case st.Pause != "":
+		return f.eachRunning(st.Pause, "pause", f.pause)
+	case st.Resume != "":
+		return f.eachRunning(st.Resume, "resume", f.resume)
+	case st.Start != "":
+		return f.startAll(match(st.Start, "c", len(f.members)))
+	case st.Grow > 0:
+		return f.grow(st.Grow, st.Told)
+	case st.Node != "":
+		for _, i := range match(st.Node, "n", len(f.nodes)) {
+			f.Note("rig", "n%d becomes %s", i, st.Becomes)
+			f.setState(f.nodes[i], st.Becomes)
+		}
+		return nil
+	}
+	return f.changeLinks(st)
+}
+
+// eachRunning does an action to each member that patterns name and whose process runs, under a name for the timeline.
+func (f *Fleet) eachRunning(patterns, action string, act func(*Member) error) error {
+	for _, i := range match(patterns, "c", len(f.members)) {
+		m := f.members[i]
+		if m.Process == nil {
+			continue
+		}
+		f.Note("rig", "%s %s", action, m.name)
+		if err := act(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// grow changes the size of the fleet. Members that start have the new size in their configuration; of the others, those that
+// the patterns name (all if empty) are reconfigured now, and the rest at the next step of this kind.
+func (f *Fleet) grow(size int, reconfigured string) error {
+	f.size = size
+	if err := f.resizeRunning(reconfigured); err != nil {
+		return err
+	}
+	var within []int
+	for i := range min(size, len(f.members)) {
+		within = append(within, i)
+	}
+	var beyond []*Member
+	for _, m := range f.members[size:] {
+		if m.Process != nil {
+			f.Note("rig", "stop %s", m.name)
+			beyond = append(beyond, m)
+		}
+	}
+	return errors.Join(f.stopAll(beyond), f.startAll(within))
+}
+
+// resizeRunning writes the fleet's size to the configuration of members that patterns name (all if empty), and has their
+// processes reload it.
+func (f *Fleet) resizeRunning(patterns string) error {
+	named := map[int]bool{}
+	for _, i := range match(patterns, "c", len(f.members)) {
+		named[i] = true
+	}
+	for i, m := range f.members[:min(f.size, len(f.members))] {
+		if m.Process == nil || m.knownSize == f.size || patterns != "" && !named[i] {
+			continue
+		}
+		m.knownSize = f.size
+		if err := f.configure(m); err != nil {
+			return err
+		}
+		f.Note("rig", "%s hears of %d coordinators", m.name, f.size)
+		if err := m.Process.Process.Signal(syscall.SIGHUP); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// linksOf lists the links that "FROM TO" names.
+func (f *Fleet) linksOf(fromTo string) (links []*Link) {
+	names := strings.Fields(fromTo)
+	for _, i := range match(names[0], "c", len(f.members)) {
+		if m := f.members[i]; names[1] == "registry" {
+			links = append(links, m.discovery)
+		} else {
+			for _, j := range match(names[1], "n", len(f.nodes)) {
+				links = append(links, m.links[j])
+			}
+		}
+	}
+	return links
+}
+
+// changeLinks does to some links what a step says.
+func (f *Fleet) changeLinks(st Step) error {
+	links := f.linksOf(st.Link)
+	if len(links) == 0 {
+		return fmt.Errorf("rig: no link is like %q", st.Link)
+	}
+	f.Note("rig", "%d links %s: cut %q heal %t reset %t delay %v rate %d lose %v twice %v swap %v", len(links), st.Link, st.Cut, st.Heal, st.Reset, st.Delay, st.Rate, st.Lose, st.Twice, st.Swap)
+	for _, k := range links {
+		switch {
+		case st.Cut != "":
+			k.Cut(There, st.Cut != "back")
+			k.Cut(Back, st.Cut != "there")
+		case st.Heal:
+			k.Mend()
+		case st.Reset:
+			k.Reset()
+		case st.Delay > 0:
+			k.Delay(st.Delay)
+		case st.Rate > 0:
+			k.Throttle(st.Rate)
+		default:
+			k.Spoil(Spoil{Lose: st.Lose, Twice: st.Twice, Swap: st.Swap, Seed: uint64(len(f.nodes))})
+		}
+	}
+	return nil
+}
+
+// healAll ends all faults: links are whole, nodes sound, and who was paused goes on.
+func (f *Fleet) healAll() {
+	f.Note("rig", "all faults end")
+	for _, m := range f.members {
+		for _, k := range append([]*Link{m.discovery}, m.links...) {
+			k.Mend()
+		}
+		if m.Process != nil && m.paused {
+			f.resume(m)
+		}
+	}
+	for _, n := range f.nodes {
+		n.mu.Lock()
+		state, status := n.state, n.entry.Status
+		n.mu.Unlock()
+		if status != statusInService {
+			f.setState(n, nodeBack)
+		} else if state != nodeSound {
+			f.setState(n, nodeSound)
+		}
+	}
+}
+
+// awaitWholeSummaries waits until every coordinator that runs has served a whole summary: each section was reached.
+func (f *Fleet) awaitWholeSummaries() (err error) {
+	class, sections := f.question(0, 2)
+	for _, m := range f.running() {
+		tries := 0
+		err = errors.Join(err, Wait(m.name+" serves a whole summary after the faults", func() bool {
+			tries++
+			w := &visitor{address: m.listen}
+			defer w.leave()
+			answer, _, err := w.once(request(fmt.Sprintf("s-%s-%d", m.name, tries), class, sections))
+			return err == nil && answer.Entire
+		}))
+	}
+	if err == nil {
+		f.Note("rig", "%d coordinators serve whole summaries", len(f.running()))
+	}
+	return err
+}
+
+// question is what clients ask: a lookup of some sections in a row, a report, a summary of all.
+func (f *Fleet) question(who, i int) (class string, sections []int) {
+	n := len(f.nodes)
+	first := (who*7 + i*5) % n
+	switch i % 3 {
+	case 0:
+		return "route-lookup", []int{first, (first + 1) % n, (first + 2) % n, (first + 3) % n}
+	case 1:
+		return "hazard-report", []int{first}
+	}
+	for s := range n {
+		sections = append(sections, s)
+	}
+	return "conditions-summary", sections
+}
--- a/internal/rig/records.go
+++ b/internal/rig/records.go
@@ -1,10 +1,7 @@
 package rig
 
 import (
-	"errors"
 	"fmt"
-	"io"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -12,54 +9,19 @@
 	"harepass/internal/standin"
 )
 
-// Timeline is what happened, of all processes and the rig in one order.
-type Timeline struct {
-	began time.Time
-
-	mu    sync.Mutex
-	notes []note
-}
-
-type note struct {
-	at        time.Duration
-	who, what string
-}
-
-func newTimeline() *Timeline { return &Timeline{began: time.Now()} }
-
-// Note adds a line.
-func (t *Timeline) Note(who, format string, args ...any) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.notes = append(t.notes, note{time.Since(t.began), who, fmt.Sprintf(format, args...)})
-}
-
-// Print writes all lines in order of time.
-func (t *Timeline) Print(out io.Writer) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	slices.SortStableFunc(t.notes, func(x, y note) int { return int(x.at - y.at) })
-	for _, n := range t.notes {
-		if _, err := fmt.Fprintf(out, "%8.3f %-8s %s\n", n.at.Seconds(), n.who, n.what); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // records are what nodes and discovery have seen, held against the rules as it comes in.
 type records struct {
 	f     *Fleet
 	grace time.Duration // from the word that a node drains until which it may be sent to
 
-	mu      sync.Mutex
-	told    map[*Member]map[string]time.Time // nodes that a member has been told not to use, and when
-	fresh   map[*Member]time.Time            // when its process was started or went on last
-	runs    map[string]string                // reports that nodes have taken, and where
-	queries map[string]struct{}
-	parts   int
-	lists   int
-	broken  []string
+	mu         sync.Mutex
+	withdrawn  map[*Member]map[string]time.Time // nodes that a member has been told not to use, and when
+	freshSince map[*Member]time.Time            // when its process was started or went on last
+	runs       map[string]string                // reports that nodes have taken, and where
+	queries    map[string]struct{}
+	parts      int
+	lists      int
+	breaches   []string
 }
 
 const (
@@ -68,15 +30,15 @@
 )
 
 func (r *records) open(f *Fleet) {
-	*r = records{f: f, told: map[*Member]map[string]time.Time{}, fresh: map[*Member]time.Time{}, runs: map[string]string{}, queries: map[string]struct{}{}}
+	*r = records{f: f, withdrawn: map[*Member]map[string]time.Time{}, freshSince: map[*Member]time.Time{}, runs: map[string]string{}, queries: map[string]struct{}{}}
 }
 
-// begun notes a new process, which has read the list as it is.
-func (r *records) begun(m *Member) {
+// started notes a new process, which has read the list as it is.
+func (r *records) started(m *Member) {
 	list, _ := r.f.registry.List(-1, m.address)
 	r.mu.Lock()
-	r.fresh[m] = time.Now()
-	r.told[m] = map[string]time.Time{}
+	r.freshSince[m] = time.Now()
+	r.withdrawn[m] = map[string]time.Time{}
 	r.mu.Unlock()
 	r.listed(m, list)
 }
@@ -87,17 +49,17 @@
 	defer r.mu.Unlock()
 	r.lists++
 	for _, e := range list.Endpoints {
-		if e.Status == "in_service" {
-			delete(r.told[m], e.Name)
-		} else if _, known := r.told[m][e.Name]; !known && r.told[m] != nil {
-			r.told[m][e.Name] = time.Now()
+		if e.Status == statusInService {
+			delete(r.withdrawn[m], e.Name)
+		} else if _, known := r.withdrawn[m][e.Name]; !known && r.withdrawn[m] != nil {
+			r.withdrawn[m][e.Name] = time.Now()
 		}
 	}
 }
 
 // part notes a part that a node was sent, and what it did with it.
 func (r *records) part(m *Member, n *fleetNode, id string, did standin.Kind) {
-	whole, heard := m.links[n.entry.Group].WholeFor(), m.disc.WholeFor()
+	whole, heard := m.links[n.entry.Group].WholeFor(), m.discovery.WholeFor()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.parts++
@@ -111,23 +73,23 @@
 	}
 	// What a fault has held up was sent before it: only what comes on a whole link tells when it was sent.
 	// What discovery has written while its link had a fault arrives when that is over.
-	at, told := r.told[m][n.name]
+	at, told := r.withdrawn[m][n.name]
 	late := min(time.Since(at), heard) - r.grace - linkSlack
-	if told && late > 0 && whole > afterFault && time.Since(r.fresh[m]) > afterFault {
+	if told && late > 0 && whole > afterFault && time.Since(r.freshSince[m]) > afterFault {
 		r.breach("%s sent %s to %s %v after it may", m.name, id, n.name, late.Round(time.Millisecond))
 	}
 }
 
-// went notes that a paused process goes on.
-func (r *records) went(m *Member) {
+// resumed notes that a paused process goes on.
+func (r *records) resumed(m *Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fresh[m] = time.Now()
+	r.freshSince[m] = time.Now()
 }
 
 // breach is called under the lock.
 func (r *records) breach(format string, args ...any) {
-	r.broken = append(r.broken, fmt.Sprintf(format, args...))
+	r.breaches = append(r.breaches, fmt.Sprintf(format, args...))
 	r.f.Note("rule", format, args...)
 }
 
@@ -144,50 +106,3 @@
 	defer r.mu.Unlock()
 	return r.parts, r.lists
 }
-
-// verdict is what did not hold.
-func (f *Fleet) verdict() (err error) {
-	say := func(format string, args ...any) {
-		f.Note("verdict", format, args...)
-		err = errors.Join(err, fmt.Errorf("rig: "+format, args...))
-	}
-	total := map[string]int{}
-	for _, m := range f.members {
-		if m.crowd != nil {
-			for k, n := range m.crowd.Tally() {
-				total[k] += n
-			}
-		}
-	}
-	for _, bad := range []string{"twice", "untrue"} {
-		if total[bad] > 0 {
-			say("%d requests were answered %s", total[bad], bad)
-		}
-	}
-	if total["lost"] > f.Lost {
-		say("%d requests were heard and never answered, at most %d may be", total["lost"], f.Lost)
-	}
-	if total["200"] == 0 {
-		say("nothing was served: no load")
-	}
-	for _, n := range f.nodes {
-		n.mu.Lock()
-		if p := n.machine.Pressure(); p > 1 {
-			say("%s was sent %.2f times what makes it fall", n.name, p)
-		}
-		n.mu.Unlock()
-	}
-	f.records.mu.Lock()
-	defer f.records.mu.Unlock()
-	if len(f.records.runs) == 0 {
-		say("no hazard report was seen")
-	}
-	for i, b := range f.records.broken {
-		if i == 5 {
-			say("and %d more", len(f.records.broken)-i)
-			break
-		}
-		say("%s", b)
-	}
-	return err
-}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -113,12 +113,12 @@
 	link := func(whole time.Duration) *Link { return &Link{since: time.Now().Add(-whole)} }
 	f := &Fleet{Scenario: &Scenario{}, Timeline: newTimeline()}
 	n := &fleetNode{name: "n0"}
-	m := &Member{name: "c0", links: []*Link{link(time.Hour)}, disc: link(time.Hour)}
+	m := &Member{name: "c0", links: []*Link{link(time.Hour)}, discovery: link(time.Hour)}
 	f.records.open(f)
 	f.records.grace = time.Second
-	f.records.begun(m)
-	f.records.fresh[m] = time.Now().Add(-time.Hour)
-	breaches := func() int { return len(f.records.broken) }
+	f.records.started(m)
+	f.records.freshSince[m] = time.Now().Add(-time.Hour)
+	breaches := func() int { return len(f.records.breaches) }
 	f.records.part(m, n, "h-1.0", standin.Reject)
 	f.records.part(m, n, "h-1.0", standin.Serve)
 	if breaches() > 0 {
@@ -133,7 +133,7 @@
 	if breaches() != 1 {
 		t.Error("a part within the grace is a breach")
 	}
-	f.records.told[m]["n0"] = time.Now().Add(-2 * time.Second)
+	f.records.withdrawn[m]["n0"] = time.Now().Add(-2 * time.Second)
 	f.records.listed(m, standin.Listing{Endpoints: []standin.Entry{{Name: "n0", Status: "terminated"}}}) // told again: the first word counts
 	f.records.part(m, n, "r-2.0", standin.Serve)
 	if breaches() != 2 {
@@ -142,16 +142,16 @@
 	// Held up on its way, the part or discovery's word; of one that was paused until now; at one that is back.
 	m.links[0] = link(100 * time.Millisecond)
 	f.records.part(m, n, "r-3.0", standin.Serve)
-	m.links[0], m.disc = link(time.Hour), link(900*time.Millisecond)
+	m.links[0], m.discovery = link(time.Hour), link(900*time.Millisecond)
 	f.records.part(m, n, "r-4.0", standin.Serve)
-	m.disc = link(time.Hour)
-	f.records.went(m)
+	m.discovery = link(time.Hour)
+	f.records.resumed(m)
 	f.records.part(m, n, "r-5.0", standin.Serve)
-	f.records.fresh[m] = time.Now().Add(-time.Hour)
+	f.records.freshSince[m] = time.Now().Add(-time.Hour)
 	f.records.listed(m, standin.Listing{Endpoints: []standin.Entry{{Name: "n0", Status: "in_service"}}})
 	f.records.part(m, n, "r-6.0", standin.Serve)
 	if breaches() != 2 {
-		t.Errorf("what a fault held up is a breach: %v", f.records.broken)
+		t.Errorf("what a fault held up is a breach: %v", f.records.breaches)
 	}
 	if err := f.verdict(); err == nil || !strings.Contains(err.Error(), "ran at n0 and at n0") || !strings.Contains(err.Error(), "nothing was served") {
 		t.Errorf("the verdict is %v", err)
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path"
+	"slices"
 	"strings"
 	"time"
 
@@ -50,8 +51,8 @@
 	Twice float64       `yaml:"twice"` // that arrive twice,
 	Swap  float64       `yaml:"swap"`  // or after the next one
 
-	Node    string `yaml:"node"`
-	Becomes string `yaml:"becomes"` // drained, gone, back (a new process, cold), hung, failing, sound
+	Node    string    `yaml:"node"`
+	Becomes NodeState `yaml:"becomes"` // drained, gone, back (a new process, cold), hung, failing, sound
 }
 
 // Load reads a scenario.
@@ -72,15 +73,15 @@
 	return s, nil
 }
 
-var conditions = []string{"drained", "gone", "back", "hung", "failing", "sound"}
+var nodeStates = []NodeState{nodeDrained, nodeGone, nodeBack, nodeHung, nodeFailing, nodeSound}
 
 // check names the first thing that no fleet could be or do.
 func (s *Scenario) check() error {
 	switch {
 	case s.Coordinators < 1 || s.Coordinators > 40:
 		return fmt.Errorf("coordinators: %d; from 1 to 40 can be started", s.Coordinators)
-	case s.Nodes < reach || s.Nodes > 60:
-		return fmt.Errorf("nodes: %d; from %d to 60 can be", s.Nodes, reach)
+	case s.Nodes < holdersPerSection || s.Nodes > 60:
+		return fmt.Errorf("nodes: %d; from %d to 60 can be", s.Nodes, holdersPerSection)
 	case s.Clients < 1:
 		return fmt.Errorf("clients: %d; at least one has to ask", s.Clients)
 	case s.Work <= 0:
@@ -136,8 +137,8 @@
 		return fmt.Errorf("no link is named")
 	case st.Cut != "" && st.Cut != "there" && st.Cut != "back" && st.Cut != "both":
 		return fmt.Errorf("cut %q is none of there, back, both", st.Cut)
-	case st.Node != "" && !strings.Contains(" "+strings.Join(conditions, " ")+" ", " "+st.Becomes+" "):
-		return fmt.Errorf("becomes %q is none of %s", st.Becomes, strings.Join(conditions, ", "))
+	case st.Node != "" && !slices.Contains(nodeStates, st.Becomes):
+		return fmt.Errorf("becomes %q is none of %s", st.Becomes, strings.ReplaceAll(strings.Trim(fmt.Sprint(nodeStates), "[]"), " ", ", "))
 	case st.Node == "" && st.Becomes != "":
 		return fmt.Errorf("no node is named")
 	case st.Grow == 0 && st.Told != "":
