Laboratory: virtual time, the virtual fleet and two experiments are packages of their own

The virtual fleet and the hand-over experiment had an event heap each, of the same twenty lines, and the choices experiment read the fleet's insides. internal/virtualtime now has the one event queue, internal/virtualfleet the fleet behind exported methods, and choices and handover are packages below internal/lab/experiments. cmd/lab/experiments.go lists all experiments, one line each; internal/lab no longer knows them. Names with prefixes (vWay, chSize, hoParts) are words now: Config, fleetSize, lookupParts.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -34,10 +34,12 @@
 func run() *cobra.Command {
 	var keep string
 	c := &cobra.Command{Use: "run NAME", Short: "Runs an experiment; exits 1 where an aim is missed", Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error { return lab.Run(args[0], cmd.OutOrStdout(), keep) }}
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return lab.Run(experiments, args[0], cmd.OutOrStdout(), keep)
+		}}
 	c.Flags().StringVar(&keep, "keep", "", "folder for the results of its loads, for lab report")
 	c.Long = c.Short + ":\n"
-	for _, e := range lab.Experiments {
+	for _, e := range experiments {
 		c.Long += fmt.Sprintf("\n  %-12s %s", e.Name, e.Short)
 	}
 	return c
--- /dev/null
+++ b/internal/lab/experiments/choices/situations.go
@@ -0,0 +1,110 @@
+package choices
+
+import (
+	"time"
+
+	"harepass/internal/virtualfleet"
+)
+
+// situation plays a fleet of a size, whose members know their numbers or not, through what it meets.
+type situation func(size fleetSize, numbered bool) (result, error)
+
+const lostZone = 1
+
+// atWork is a fleet at work, then with one node of ten that hangs.
+func atWork(size fleetSize, numbered bool) (res result, err error) {
+	f, err := size.newFleet(numbered)
+	if err != nil {
+		return res, err
+	}
+	f.Run(3 * time.Second)
+	f.BeginPhase()
+	f.Run(size.work)
+	res.parts, res.jain = virtualfleet.Imbalance(partsOf(f.Nodes))
+	connections := f.Connections()
+	res.connections, _ = virtualfleet.Imbalance(connections)
+	for _, n := range connections {
+		res.open += n
+	}
+	res.worth = f.Worth()
+	var hung []*virtualfleet.Node
+	for i := 3; i < len(f.Nodes); i += 10 {
+		f.Nodes[i].Hung = true
+		hung = append(hung, f.Nodes[i])
+	}
+	f.Run(8 * time.Second) // by then all have met them
+	f.BeginPhase()
+	f.Run(size.afterFault + 8*time.Second)
+	res.trials, _ = virtualfleet.Imbalance(partsOf(hung))
+	res.load = f.Load()
+	return res, nil
+}
+
+// allCold is a fleet whose nodes have all just returned.
+func allCold(size fleetSize, numbered bool) (res result, err error) {
+	f, err := size.busyFleet(numbered)
+	if err != nil {
+		return res, err
+	}
+	for _, n := range f.Nodes {
+		n.Restart(f.Now())
+	}
+	f.Announce()
+	f.Run(size.afterFault)
+	for _, n := range f.Nodes {
+		res.coldPressure = max(res.coldPressure, n.Pressure())
+	}
+	res.fallen = fallen(f.Nodes)
+	return res, nil
+}
+
+// zoneLost is a fleet that loses a zone without a word, and gets it back cold.
+func zoneLost(size fleetSize, numbered bool) (res result, err error) {
+	f, err := size.busyFleet(numbered)
+	if err != nil {
+		return res, err
+	}
+	for _, n := range f.Nodes {
+		n.Down = n.Zone == lostZone
+	}
+	f.Run(5 * time.Second)
+	for _, n := range f.Nodes {
+		if n.Down {
+			n.Restart(f.Now())
+			n.Down = false
+			n.DropConnections()
+		}
+	}
+	f.Announce()
+	f.Run(size.afterFault)
+	res.zoneWorth = f.Worth()
+	res.fallen = fallen(f.Nodes)
+	return res, nil
+}
+
+// busyFleet is a fleet that has been at work for a while.
+func (s fleetSize) busyFleet(numbered bool) (*virtualfleet.Fleet, error) {
+	f, err := s.newFleet(numbered)
+	if err == nil {
+		f.Run(4 * time.Second)
+		f.BeginPhase()
+	}
+	return f, err
+}
+
+func partsOf(nodes []*virtualfleet.Node) (parts []float64) {
+	for _, n := range nodes {
+		parts = append(parts, float64(n.Parts))
+	}
+	return parts
+}
+
+// fallen counts the nodes that were sent more than makes them fall.
+func fallen(nodes []*virtualfleet.Node) (count int) {
+	for _, n := range nodes {
+		if n.Pressure() > 1 {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/lab/experiments/handover/handover.go
@@ -0,0 +1,250 @@
+// Package handover is an experiment: a new version of a coordinator takes over while half of its nodes are cold, with what the
+// old one had learned and without. All of it is in virtual time, the module before emulated nodes with queues.
+package handover
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"harepass"
+	"harepass/internal/lab"
+	"harepass/internal/standin"
+	"harepass/internal/virtualtime"
+)
+
+// Experiment plays the upgrade with several seeds.
+var Experiment = lab.Experiment{
+	Name:  "hand-over",
+	Short: "a new version takes over while half of the nodes are cold, with what the old one had learned and without; virtual time",
+	Run:   run,
+}
+
+const (
+	nodeCount   = 12
+	reach       = 3     // cells that hold a section; each cell has one node
+	rate        = 120.0 // lookups a second: the warm nodes are half busy with their part
+	lookupParts = 4     // sections in a row
+	partWork    = 16 * time.Millisecond
+	nodeCores   = 2
+	nodeQueue   = 40 // parts that wait at a node; more are turned away
+	aim         = 380 * time.Millisecond
+	deadline    = time.Second
+	startAt     = time.Second      // of the virtual clock
+	restartAt   = 20 * time.Second // of half of the nodes
+	upgradeAt   = 22 * time.Second
+	endAt       = 28 * time.Second
+	seeds       = 5
+	minGain     = 0.05 // of the lookups after an upgrade, to be in time beside a version that learns anew
+)
+
+var cold = harepass.Cold{Start: 0.21, WarmWithin: 18 * time.Second, Multiple: 2.5, Window: 1500 * time.Millisecond}
+
+var settings = harepass.Settings{Roots: 1, Cells: nodeCount, Reach: reach, CallBatch: 1, Turn: time.Millisecond, MaxAttempts: 4, Cancel: true, RetryAdvice: time.Second,
+	Classes: []harepass.Class{{Name: "lookup", Aim: aim, Deadline: deadline, Worth: 1, LateWorth: 0.3, Need: 1, Floor: 1}},
+	Cold:    cold}
+
+// coordinator is one version of it.
+type coordinator struct {
+	module   *harepass.Aggregator
+	attempts map[string]int // by part
+}
+
+// event is something that a version is to hear.
+type event struct {
+	to   *coordinator
+	what harepass.Event
+}
+
+// period is before the upgrade or after it.
+type period int
+
+const (
+	beforeUpgrade period = iota
+	afterUpgrade
+)
+
+func periodOf(at time.Duration) period {
+	if at >= upgradeAt {
+		return afterUpgrade
+	}
+	return beforeUpgrade
+}
+
+// play is one run. The lookups are counted by the period of their arrival.
+type play struct {
+	now     time.Duration
+	rng     *rand.Rand
+	pending virtualtime.Queue[event]
+	nodes   map[string]*standin.Machine
+	serving *coordinator
+	came    map[string]time.Duration // arrivals, by lookup
+	inTime  [2]int
+	asked   [2]int
+}
+
+// newPlay sets the nodes up; nothing serves yet.
+func newPlay(seed uint64) *play {
+	p := &play{now: startAt, rng: rand.New(rand.NewPCG(seed, 0x68616e64)), nodes: map[string]*standin.Machine{}, came: map[string]time.Duration{}}
+	for i := range nodeCount {
+		p.nodes[nodeID(i)] = &standin.Machine{Work: partWork, Cores: nodeCores, Queue: nodeQueue,
+			Start: cold.Start, Warm: cold.WarmWithin, Fall: cold.Multiple, Window: cold.Window}
+	}
+	return p
+}
+
+func nodeID(i int) string { return fmt.Sprint("n", i) }
+
+// runPlay plays a seed; handOn tells whether the new version is given what the old one has learned.
+func runPlay(seed uint64, handOn bool) (*play, error) {
+	p := newPlay(seed)
+	if err := p.startVersion(seed); err != nil {
+		return nil, err
+	}
+	restarted, upgraded := false, false
+	for number := int64(1); p.now < endAt; number++ {
+		next := p.now + time.Duration(p.rng.ExpFloat64()/rate*float64(time.Second))
+		for at, e := range p.pending.Until(next) {
+			p.now = max(p.now, at)
+			p.step(e.to, e.what)
+		}
+		p.now = next
+		if !restarted && p.now >= restartAt {
+			restarted = true
+			p.restartHalf()
+		}
+		if !upgraded && p.now >= upgradeAt {
+			upgraded = true
+			if err := p.upgrade(seed+1, handOn); err != nil {
+				return nil, err
+			}
+		}
+		p.ask(number)
+	}
+	return p, nil
+}
+
+// startVersion has a new version serve from now on. An old one ends what it has.
+func (p *play) startVersion(seed uint64) error {
+	module, err := harepass.New(seed, settings)
+	if err != nil {
+		return err
+	}
+	p.serving = &coordinator{module, map[string]int{}}
+	p.step(p.serving, p.list())
+	return nil
+}
+
+// restartHalf restarts half of the nodes: those in a row, so that some sections have cold holders only.
+func (p *play) restartHalf() {
+	for i := range nodeCount / 2 {
+		p.nodes[nodeID(i)].Restart(p.now)
+	}
+	p.step(p.serving, p.list())
+}
+
+// upgrade starts a new version; where handOn is set it gets the old one's memory, as the program does it, by way of JSON.
+func (p *play) upgrade(seed uint64, handOn bool) error {
+	data, err := json.Marshal(p.serving.module.Recall())
+	if err != nil {
+		return err
+	}
+	if err := p.startVersion(seed); err != nil || !handOn {
+		return err
+	}
+	var learned harepass.Memory
+	if err := json.Unmarshal(data, &learned); err != nil {
+		return err
+	}
+	p.serving.module.Remember(learned)
+	return nil
+}
+
+// ask has the present version be asked a lookup.
+func (p *play) ask(number int64) {
+	id := fmt.Sprint("q", number)
+	p.came[id] = p.now
+	p.asked[periodOf(p.now)]++
+	events := []harepass.Event{harepass.QueryArrived{ID: id, Number: number, Class: "lookup", ValidUntil: p.now + deadline, Parts: lookupParts}}
+	first := p.rng.IntN(nodeCount)
+	for i := range lookupParts {
+		events = append(events, harepass.PartArrived{ID: fmt.Sprint(id, ".", i), Number: number, Shard: (first + i) % nodeCount, Weight: 1.0 / lookupParts})
+	}
+	p.step(p.serving, events...)
+}
+
+// list is what both versions are told of the nodes.
+func (p *play) list() (ev harepass.ListReceived) {
+	ev.Scope = harepass.ListFull
+	for i := range nodeCount {
+		id := nodeID(i)
+		ev.Replicas = append(ev.Replicas, harepass.Replica{ID: id, Cell: i, Since: p.nodes[id].Since})
+	}
+	return ev
+}
+
+// step gives a version events and does what it asks for.
+func (p *play) step(c *coordinator, events ...harepass.Event) {
+	for _, action := range c.module.Step(p.now, events) {
+		switch a := action.(type) {
+		case harepass.WakeIn:
+			p.pending.Add(p.now+a.In, event{c, harepass.Woken{}})
+		case harepass.CallOff: // its work is done all the same
+			p.pending.Add(p.now, event{c, harepass.AttemptEnded{Part: a.Part, Attempt: a.Attempt, Outcome: harepass.Cancelled, Took: aim}})
+		case harepass.Send:
+			p.send(c, a)
+		case harepass.Answer:
+			if came := p.came[a.Query]; p.now-came <= aim {
+				p.inTime[periodOf(came)]++
+			}
+		}
+	}
+}
+
+// send begins an attempt.
+func (p *play) send(c *coordinator, a harepass.Send) {
+	attempt := c.attempts[a.Part]
+	c.attempts[a.Part]++
+	end, taken := p.nodes[a.Replica].Take(p.now)
+	ended := harepass.AttemptEnded{Part: a.Part, Attempt: attempt, Replica: a.Replica, Took: end - p.now}
+	if !taken {
+		ended.Outcome = harepass.Full
+	} else if ended.Took > a.Timeout {
+		ended.Outcome, ended.Took = harepass.TimedOut, a.Timeout
+	}
+	p.pending.Add(p.now+ended.Took, event{c, ended})
+}
+
+// shareInTime is the share of a period's lookups that were answered in time.
+func (p *play) shareInTime(in period) float64 { return float64(p.inTime[in]) / float64(p.asked[in]) }
+
+// worstPressure is the most that a cold node was sent, of what makes it fall.
+func (p *play) worstPressure() (worst float64) {
+	for _, n := range p.nodes {
+		worst = max(worst, n.Pressure())
+	}
+	return worst
+}
+
+func run(r *lab.Report) error {
+	r.Table("learned", "seed", "asked after", "in time before", "in time after", "worst on a cold node")
+	var after [2]float64
+	for k, handOn := range []bool{false, true} {
+		for seed := range uint64(seeds) {
+			p, err := runPlay(seed*2+1, handOn)
+			if err != nil {
+				return err
+			}
+			worst := p.worstPressure()
+			after[k] += p.shareInTime(afterUpgrade) / seeds
+			r.Row(map[bool]string{true: "handed on", false: "anew"}[handOn], seed, p.asked[afterUpgrade],
+				fmt.Sprintf("%.3f", p.shareInTime(beforeUpgrade)), fmt.Sprintf("%.3f", p.shareInTime(afterUpgrade)), fmt.Sprintf("%.2f", worst))
+			r.Aim(worst < 1, "seed %d, handed on %t: a cold node fell, %.2f of what it takes", seed, handOn, worst)
+		}
+	}
+	r.Key("anew", "%.3f", after[0])
+	r.Key("handed_on", "%.3f", after[1])
+	r.Aim(after[1] >= after[0]+minGain, "in time after the upgrade: %.3f handed on, %.3f anew; %.2f more wanted", after[1], after[0], minGain)
+	return nil
+}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -384,15 +385,15 @@
 func (r *LoadResult) Print(out io.Writer) error {
 	t := &Report{}
 	t.Table("class", "asked", "served", "refused", "failed", "late", "p50 ms", "p99 ms")
-	for _, name := range sorted(r.Classes) {
+	for _, name := range slices.Sorted(maps.Keys(r.Classes)) {
 		c := r.Classes[name]
 		t.Row(name, c.Asked, c.Served, c.Refused, c.Failed, c.Late, c.Percentiles["50"], c.Percentiles["99"])
 	}
-	for _, name := range sorted(r.Tenants) {
+	for _, name := range slices.Sorted(maps.Keys(r.Tenants)) {
 		c := r.Tenants[name]
 		t.Row(name, c.Asked, c.Served, c.Refused, "", "", fmt.Sprintf("worth %.0f", c.Worth), fmt.Sprintf("of %.0f", c.Most))
 	}
 	t.Key("worth", "%.3f", r.Worth/math.Max(r.Most, 1e-9))
 	t.Key("lost", "%d", r.Lost)
-	return t.print("load", out)
+	return t.Print("load", out)
 }
--- a/internal/lab/overload.go
+++ b/internal/lab/overload.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net"
+	"slices"
 	"time"
 
 	"harepass"
@@ -38,7 +40,7 @@
 			{Name: "route-lookup", Aim: 1500 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.3, Need: 1, Floor: 1},
 			{Name: "hazard-report", Aim: 1500 * time.Millisecond, Deadline: 5 * time.Second, Worth: 2, LateWorth: 0.1, Need: 1, Floor: 1, Repeat: harepass.SingleShot},
 			{Name: "conditions-summary", Aim: 1500 * time.Millisecond, Deadline: 5 * time.Second, Worth: 3, LateWorth: 0.3, Need: 1, Floor: 0.7}}}
-	for _, name := range sorted(ovShares) {
+	for _, name := range slices.Sorted(maps.Keys(ovShares)) {
 		s.Tenants = append(s.Tenants, harepass.Tenant{Name: name, Quota: 1.1 * normal * ovShares[name]})
 	}
 	return s
@@ -49,7 +51,7 @@
 		{Name: "route-lookup", Share: 0.55, Index: "trails", Sections: 8, Of: ovSections, Worth: 1, Aim: 1500 * time.Millisecond, Timeout: 3 * time.Second},
 		{Name: "hazard-report", Share: 0.225, Index: "hazards", Report: true, Of: ovSections, Worth: 2, Aim: 1500 * time.Millisecond, Timeout: 3 * time.Second},
 		{Name: "conditions-summary", Share: 0.225, Index: "conditions", Of: ovSections, Worth: 3, Aim: 1500 * time.Millisecond, Timeout: 3 * time.Second}}}
-	for _, name := range sorted(ovShares) {
+	for _, name := range slices.Sorted(maps.Keys(ovShares)) {
 		p.Tenants = append(p.Tenants, LoadTenant{Name: name, Caller: name, Share: ovShares[name], Quota: 1.1 * rate * ovShares[name]})
 	}
 	return p
@@ -88,8 +90,24 @@
 
 func ovServe(shard, _ int) standin.Reply { return standin.Reply{Kind: standin.Serve, After: ovAnswer} }
 
-// Overload runs the experiment.
-func Overload(r *Report) error {
+// OverloadExperiment plays the rush.
+var OverloadExperiment = Experiment{
+	Name:  "overload",
+	Short: "a coordinator on two cores at 1, 2 and 3 times its traffic, and before slow nodes, with control and without",
+	Run:   runOverload,
+}
+
+// keep writes a load's result where the user wants results kept.
+func keep(r *Report, name string, res *LoadResult) error {
+	path, kept := r.KeepPath(name + ".json")
+	if !kept {
+		return nil
+	}
+	res.Name = name
+	return res.Write(path)
+}
+
+func runOverload(r *Report) error {
 	// What normal is follows from what a query costs on this machine.
 	_, probe, err := ovPlay(Process{Settings: ovSettings(10 * ovProbe), Cores: ovCores, MemoryMB: ovMemory},
 		func(t string) *LoadPlan { return ovPlan(t, ovProbe, 2*time.Second) }, ovServe, nil)
@@ -123,7 +141,7 @@
 				return err
 			}
 			runs[fmt.Sprint(factor, on)] = outcome{res, stats}
-			if err := r.Keep(fmt.Sprintf("overload-%.0fx-%s", factor, map[bool]string{false: "first-come", true: "controlled"}[on]), res); err != nil {
+			if err := keep(r, fmt.Sprintf("overload-%.0fx-%s", factor, map[bool]string{false: "first-come", true: "controlled"}[on]), res); err != nil {
 				return err
 			}
 			above := ""
--- a/internal/lab/plots.go
+++ b/internal/lab/plots.go
@@ -7,8 +7,10 @@
 	"html/template"
 	"image/color"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"gonum.org/v1/plot"
@@ -103,7 +105,7 @@
 	p.Y.Min, p.Y.Max = 0, max(top*1.05, 1e-9)
 	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
-	for i, name := range sorted(lines) {
+	for i, name := range slices.Sorted(maps.Keys(lines)) {
 		if len(lines[name]) == 0 {
 			continue
 		}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -17,15 +16,29 @@
 	Run         func(*Report) error
 }
 
-// Experiments are all there are.
-var Experiments = []Experiment{
-	{"two-phase", "the same mornings in one phase and in two, without failures and with", TwoPhase},
-	{"choices", "fleets of 30, 300 and 1,000 that know their place, beside the same without: at work, with hung and with cold nodes, with a zone lost; virtual time", Choices},
-	{"hand-over", "a new version takes over while half of the nodes are cold, with what the old one had learned and without; virtual time", HandOver},
-	{"overload", "a coordinator on two cores at 1, 2 and 3 times its traffic, and before slow nodes, with control and without", Overload},
+// ErrMissed tells that an experiment ran and missed an aim.
+var ErrMissed = errors.New("an aim was missed")
+
+// Run runs the one of some experiments that has a name and prints its report. Results of its own go to the folder keep, unless
+// that is empty. ErrMissed follows where an aim was missed.
+func Run(experiments []Experiment, name string, out io.Writer, keep string) error {
+	i := slices.IndexFunc(experiments, func(e Experiment) bool { return e.Name == name })
+	if i < 0 {
+		var names []string
+		for _, e := range experiments {
+			names = append(names, e.Name)
+		}
+		return fmt.Errorf("no experiment %q; there is %s", name, strings.Join(names, ", "))
+	}
+	r := &Report{keep: keep}
+	if err := experiments[i].Run(r); err != nil {
+		return err
+	}
+	return r.Print(name, out)
 }
 
-// Report collects what an experiment shows: a table, the figures of its last line, and the aims it missed.
+// Report collects what an experiment shows: a table, the figures of its last line, and the aims it missed. Its zero value is
+// empty and keeps no results.
 type Report struct {
 	head   []any
 	rows   [][]any
@@ -34,18 +47,11 @@
 	keep   string // folder for results; empty keeps none
 }
 
-// Keep writes a load's result where the user wants results kept.
-func (r *Report) Keep(name string, res *LoadResult) error {
-	if r.keep == "" {
-		return nil
-	}
-	res.Name = name
-	return res.Write(filepath.Join(r.keep, name+".json"))
+// KeepPath is the path for a file of results; kept is false where the user wants none.
+func (r *Report) KeepPath(file string) (path string, kept bool) {
+	return filepath.Join(r.keep, file), r.keep != ""
 }
 
-// ErrMissed tells that an experiment ran and missed an aim.
-var ErrMissed = errors.New("an aim was missed")
-
 // Table names the columns.
 func (r *Report) Table(columns ...any) { r.head = columns }
 
@@ -64,24 +70,8 @@
 	}
 }
 
-// Run runs the experiment of a name, prints its report and keeps the results of its loads in a folder, if one is given. ErrMissed follows where an aim was missed.
-func Run(name string, out io.Writer, keep string) error {
-	i := slices.IndexFunc(Experiments, func(e Experiment) bool { return e.Name == name })
-	if i < 0 {
-		var names []string
-		for _, e := range Experiments {
-			names = append(names, e.Name)
-		}
-		return fmt.Errorf("no experiment %q; there is %s", name, strings.Join(names, ", "))
-	}
-	r := &Report{keep: keep}
-	if err := Experiments[i].Run(r); err != nil {
-		return err
-	}
-	return r.print(name, out)
-}
-
-func (r *Report) print(name string, out io.Writer) error {
+// Print writes the table, the aims that were missed and the last line. It returns ErrMissed where there are any.
+func (r *Report) Print(name string, out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	for _, row := range append([][]any{r.head}, r.rows...) {
 		for i, cell := range row {
@@ -102,6 +92,3 @@
 	}
 	return nil
 }
-
-// sorted lists a map's keys in order.
-func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/lab/twophase.go
+++ b/internal/lab/twophase.go
@@ -235,8 +235,14 @@
 	}
 }
 
-// TwoPhase runs the experiment.
-func TwoPhase(r *Report) error {
+// TwoPhaseExperiment plays the mornings.
+var TwoPhaseExperiment = Experiment{
+	Name:  "two-phase",
+	Short: "the same mornings in one phase and in two, without failures and with",
+	Run:   runTwoPhase,
+}
+
+func runTwoPhase(r *Report) error {
 	results := make([][2]*tally, len(tpMornings))
 	for some := range slices.Chunk([]int{0, 1, 2, 3, 4, 5}, 2) { // two at a time: they share this machine
 		var wg sync.WaitGroup
--- a/internal/lab/vfleet_test.go
+++ b/internal/virtualfleet/fleet_test.go
@@ -1,4 +1,4 @@
-package lab
+package virtualfleet
 
 import (
 	"fmt"
@@ -12,49 +12,48 @@
 // were, no node is pushed over when all return cold, and what is asked is served again afterwards.
 func TestVirtualFleet(t *testing.T) {
 	play := func(seed uint64) string {
-		z := chSize{members: 120, nodes: 12, layers: 1}
-		w := z.way(true)
-		w.Seed, w.Rate = seed, w.Rate/2
-		f, err := newVFleet(w)
+		c := BusyConfig(120, 12, 1)
+		c.Numbered, c.Seed, c.Rate = true, seed, c.Rate/2
+		f, err := New(c)
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.run(3 * time.Second)
-		f.phase()
-		f.run(2 * time.Second)
-		if f.worth() < 0.9 {
-			t.Errorf("seed %d: worth %.2f at half load", seed, f.worth())
+		f.Run(3 * time.Second)
+		f.BeginPhase()
+		f.Run(2 * time.Second)
+		if f.Worth() < 0.9 {
+			t.Errorf("seed %d: worth %.2f at half load", seed, f.Worth())
 		}
 		for _, told := range []int{40, 130} { // grown to 130, which a third hears of first
 			if err := f.resize(130, told); err != nil {
 				t.Fatal(err)
 			}
-			f.phase()
-			f.run(2 * time.Second)
+			f.BeginPhase()
+			f.Run(2 * time.Second)
 			var parts []float64
-			for _, n := range f.nodes {
-				parts = append(parts, float64(n.parts))
+			for _, n := range f.Nodes {
+				parts = append(parts, float64(n.Parts))
 			}
-			if over, _ := peak(parts); over > 1.6 || f.worth() < 0.9 {
-				t.Errorf("seed %d, %d told: busiest %.2f of the mean, worth %.2f", seed, told, over, f.worth())
+			if over, _ := Imbalance(parts); over > 1.6 || f.Worth() < 0.9 {
+				t.Errorf("seed %d, %d told: busiest %.2f of the mean, worth %.2f", seed, told, over, f.Worth())
 			}
 		}
 		f.Rate *= 2 // what warm ones can do
-		f.run(2 * time.Second)
-		for _, n := range f.nodes {
+		f.Run(2 * time.Second)
+		for _, n := range f.Nodes {
 			n.Restart(f.now)
 		}
-		f.tell()
-		f.run(2 * time.Second)
+		f.Announce()
+		f.Run(2 * time.Second)
 		worst := 0.0
-		for _, n := range f.nodes {
+		for _, n := range f.Nodes {
 			worst = max(worst, n.Pressure())
 		}
 		t.Logf("seed %d: a cold node was sent %.2f of what makes it fall", seed, worst)
 		if worst > 1 {
 			t.Errorf("seed %d: a cold node was sent %.2f of what makes it fall", seed, worst)
 		}
-		return fmt.Sprint(f.asked, f.attempts, f.earned)
+		return fmt.Sprint(f.asked, f.phase.attempts, f.phase.earned)
 	}
 	one := play(3)
 	if again := play(3); again != one {
@@ -70,7 +69,7 @@
 // only just started. No window has more than the budget and what is put down to chance, two thirds of it from those who
 // had been told.
 func TestColdNodesBearTheFleet(t *testing.T) {
-	for _, cold := range []harepass.Cold{vCold,
+	for _, cold := range []harepass.Cold{DefaultCold,
 		{Start: 0.15, WarmWithin: 16 * time.Second, Multiple: 4, Window: time.Second},
 		{Start: 0.12, WarmWithin: 22 * time.Second, Multiple: 2, Window: 2 * time.Second},
 		{Start: 0.3, WarmWithin: 9 * time.Second, Multiple: 3, Window: 600 * time.Millisecond},
@@ -87,13 +86,13 @@
 
 // coldPlay is the most of what makes a node fall that any was sent within a window.
 func coldPlay(t *testing.T, cold harepass.Cold, members int, together bool) (worst float64) {
-	w := chSize{members: members, nodes: 12, layers: 1}.way(true)
-	w.Cold, w.Seed = cold, uint64(members)
-	f, err := newVFleet(w)
+	c := BusyConfig(members, 12, 1)
+	c.Numbered, c.Cold, c.Seed = true, cold, uint64(members)
+	f, err := New(c)
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.run(4 * time.Second)
+	f.Run(4 * time.Second)
 	tell := func(late bool) {
 		for i, m := range f.members {
 			if (i%3 == 0) == late {
@@ -101,36 +100,36 @@
 			}
 		}
 	}
-	returned := f.nodes[:5] // their neighbours among them
+	returned := f.Nodes[:5] // their neighbours among them
 	for i, n := range returned {
 		if n.Restart(f.now); together && i < len(returned)-1 {
 			continue
 		}
 		tell(false)
 		for _, young := range []int{1, members / 2, members - 1} { // they have the list from their start on
-			if err := f.renew(young); err != nil {
+			if err := f.restart(young); err != nil {
 				t.Fatal(err)
 			}
 		}
-		f.run(700 * time.Millisecond)
+		f.Run(700 * time.Millisecond)
 		tell(true)
-		f.run(time.Second)
+		f.Run(time.Second)
 	}
-	f.run(2 * cold.Window)
+	f.Run(2 * cold.Window)
 	for _, n := range returned {
 		from, told := 0, 0
-		count := func(a vArrival, by int) {
-			if a.told {
+		count := func(a coldArrival, by int) {
+			if a.informed {
 				told += by
 			}
 		}
-		for i, a := range n.cold {
+		for i, a := range n.coldArrivals {
 			count(a, 1)
-			for ; a.at-n.cold[from].at > cold.Window; from++ {
-				count(n.cold[from], -1)
+			for ; a.at-n.coldArrivals[from].at > cold.Window; from++ {
+				count(n.coldArrivals[from], -1)
 			}
 			if all := i - from + 1; told*3 > all*2 {
-				worst = max(worst, float64(all)/n.Bears(n.cold[from].at))
+				worst = max(worst, float64(all)/n.Bears(n.coldArrivals[from].at))
 			}
 		}
 	}
--- /dev/null
+++ b/internal/virtualtime/queue.go
@@ -0,0 +1,70 @@
+// Package virtualtime has the event queue of simulations that run in virtual time: the same events in the same order every
+// time, as fast as they can be computed.
+package virtualtime
+
+import (
+	"container/heap"
+	"iter"
+	"time"
+)
+
+// Queue holds events until they are due: in order of their instants, and those of one instant in the order in which they were
+// added. Its zero value is empty and ready to use. It is not safe for concurrent use.
+type Queue[Event any] struct {
+	pending scheduledEvents[Event]
+	added   int
+}
+
+// Add schedules an event.
+func (q *Queue[Event]) Add(at time.Duration, event Event) {
+	q.added++
+	heap.Push(&q.pending, scheduled[Event]{at: at, number: q.added, event: event})
+}
+
+// Len is how many events are scheduled.
+func (q *Queue[Event]) Len() int { return len(q.pending) }
+
+// Pop removes the earliest event. It panics where there is none.
+func (q *Queue[Event]) Pop() (at time.Duration, event Event) {
+	first := heap.Pop(&q.pending).(scheduled[Event])
+	return first.at, first.event
+}
+
+// Until removes and yields the events due up to an instant, those included that are added meanwhile.
+func (q *Queue[Event]) Until(end time.Duration) iter.Seq2[time.Duration, Event] {
+	return func(yield func(time.Duration, Event) bool) {
+		for len(q.pending) > 0 && q.pending[0].at <= end {
+			if !yield(q.Pop()) {
+				return
+			}
+		}
+	}
+}
+
+type scheduled[Event any] struct {
+	at     time.Duration
+	number int // order in which it was added
+	event  Event
+}
+
+// scheduledEvents implements heap.Interface.
+type scheduledEvents[Event any] []scheduled[Event]
+
+func (s scheduledEvents[Event]) Len() int { return len(s) }
+
+func (s scheduledEvents[Event]) Less(i, j int) bool {
+	if s[i].at != s[j].at {
+		return s[i].at < s[j].at
+	}
+	return s[i].number < s[j].number
+}
+
+func (s scheduledEvents[Event]) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+
+func (s *scheduledEvents[Event]) Push(x any) { *s = append(*s, x.(scheduled[Event])) }
+
+func (s *scheduledEvents[Event]) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
