Laboratory: internal/lab split into a package for each concern

internal/lab was one room for a load generator, an HTML report, log summaries, emulated nodes, a truth checker, a measured process, an emulated loop and experiments, whose constants carried prefixes to stay apart. Each is a package of its own now: loadgen, loadreport, logview, mountain, nodeserver, testbed, virtualloop (on the one virtual queue), worth, rigplay, lab/coordinator, and lab/experiments/overload and twophase; internal/lab keeps experiments' reports. Long functions (the load's player, the emulated loop, the overload experiment) are split into steps with names. Tests moved with their packages; only identifiers in them changed.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -12,6 +12,13 @@
 	"github.com/spf13/cobra"
 
 	"harepass/internal/lab"
+	"harepass/internal/lab/coordinator"
+	"harepass/internal/loadgen"
+	"harepass/internal/loadreport"
+	"harepass/internal/logview"
+	"harepass/internal/mountain"
+	"harepass/internal/nodeserver"
+	"harepass/internal/rigplay"
 )
 
 func main() {
@@ -27,11 +34,11 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Emulated map nodes, and experiments on the coordinator",
 		SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(run(), nodes(), mountain(), load(), report(), logs(), upgrades(), fleet(), coordinator())
+	c.AddCommand(runCommand(), nodesCommand(), mountainCommand(), loadCommand(), reportCommand(), logsCommand(), upgradesCommand(), fleetCommand(), coordinatorCommand())
 	return c
 }
 
-func run() *cobra.Command {
+func runCommand() *cobra.Command {
 	var keep string
 	c := &cobra.Command{Use: "run NAME", Short: "Runs an experiment; exits 1 where an aim is missed", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -45,26 +52,26 @@
 	return c
 }
 
-func nodes() *cobra.Command {
-	s := lab.Servers{}
-	c := &cobra.Command{Use: "nodes", Short: "Serves the map nodes of an inventory on their loopback addresses, until interrupted", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error { return s.Serve(cmd.Context(), cmd.OutOrStdout()) }}
-	c.Flags().StringVar(&s.Inventory, "inventory", "deploy/nodes.example.csv", "CSV or YAML file of the nodes")
-	c.Flags().StringVar(&s.Data, "data", "", "YAML file of the mountain, as 'lab mountain' prints it; made from the seed if empty")
-	c.Flags().Uint64Var(&s.Seed, "seed", 1, "seed of the mountain")
-	c.Flags().IntVar(&s.Sections, "sections", 6, "sections of the mountain")
-	c.Flags().IntVar(&s.Cells, "cells", 3, "cells of the ring, as the coordinator's settings have them")
-	c.Flags().DurationVar(&s.Unit, "unit", 0, "time that a unit of work takes")
-	c.Flags().DurationVar(&s.Change, "change", 0, "time between changes of the data; 0 for none")
-	return c
+func nodesCommand() *cobra.Command {
+	c := nodeserver.Config{}
+	cmd := &cobra.Command{Use: "nodes", Short: "Serves the map nodes of an inventory on their loopback addresses, until interrupted", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return c.Serve(cmd.Context(), cmd.OutOrStdout()) }}
+	cmd.Flags().StringVar(&c.Inventory, "inventory", "deploy/nodes.example.csv", "CSV or YAML file of the nodes")
+	cmd.Flags().StringVar(&c.Data, "data", "", "YAML file of the mountain, as 'lab mountain' prints it; made from the seed if empty")
+	cmd.Flags().Uint64Var(&c.Seed, "seed", 1, "seed of the mountain")
+	cmd.Flags().IntVar(&c.Sections, "sections", 6, "sections of the mountain")
+	cmd.Flags().IntVar(&c.Cells, "cells", 3, "cells of the ring, as the coordinator's settings have them")
+	cmd.Flags().DurationVar(&c.Unit, "unit", 0, "time that a unit of work takes")
+	cmd.Flags().DurationVar(&c.Change, "change", 0, "time between changes of the data; 0 for none")
+	return cmd
 }
 
-func mountain() *cobra.Command {
+func mountainCommand() *cobra.Command {
 	var seed uint64
 	var sections, trails int
 	c := &cobra.Command{Use: "mountain", Short: "Prints the data of a seed as YAML: sections, trails, open or closed, versions", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return lab.NewMountain(seed, sections, trails).Write(cmd.OutOrStdout())
+			return mountain.New(seed, sections, trails).Write(cmd.OutOrStdout())
 		}}
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed")
 	c.Flags().IntVar(&sections, "sections", 6, "sections")
@@ -72,11 +79,11 @@
 	return c
 }
 
-func load() *cobra.Command {
+func loadCommand() *cobra.Command {
 	var out string
 	c := &cobra.Command{Use: "load PLAN.yaml", Short: "Plays open-loop traffic against an OpenSearch-style front on a loopback address", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			plan, err := lab.LoadLoadPlan(args[0])
+			plan, err := loadgen.ReadPlan(args[0])
 			if err != nil {
 				return err
 			}
@@ -96,11 +103,11 @@
 	return c
 }
 
-func report() *cobra.Command {
+func reportCommand() *cobra.Command {
 	var out string
 	c := &cobra.Command{Use: "report RESULT.json...", Short: "Turns results of loads into one HTML page, side by side", Args: cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			results, err := lab.LoadResults(args)
+			results, err := loadgen.ReadResults(args)
 			if err != nil {
 				return err
 			}
@@ -108,35 +115,35 @@
 			if err != nil {
 				return err
 			}
-			return errors.Join(lab.WriteReport(f, results), f.Close())
+			return errors.Join(loadreport.Write(f, results), f.Close())
 		}}
 	c.Flags().StringVarP(&out, "out", "o", "report.html", "file to write")
 	return c
 }
 
-func logs() *cobra.Command {
+func logsCommand() *cobra.Command {
 	var id string
 	var worst int
 	c := &cobra.Command{Use: "logs DIR", Short: "Sums up by second what a fleet's coordinators wrote under 'serve -trace', one *.log each", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if id != "" {
-				return lab.Path(cmd.OutOrStdout(), args[0], id)
+				return logview.Path(cmd.OutOrStdout(), args[0], id)
 			}
-			f := lab.NewFleet()
-			for _, each := range []func(lab.LogLine){f.Learn, f.Add} {
-				if err := lab.ReadLogs(args[0], each); err != nil {
+			s := logview.NewSummary()
+			for _, each := range []func(logview.Line){s.Learn, s.Add} {
+				if err := logview.ReadDir(args[0], each); err != nil {
 					return err
 				}
 			}
-			return f.Print(cmd.OutOrStdout(), worst)
+			return s.Print(cmd.OutOrStdout(), worst)
 		}}
 	c.Flags().StringVar(&id, "id", "", "prints one request's path instead: its lines from all coordinators, in order of time")
 	c.Flags().IntVar(&worst, "nodes", 20, "how many nodes to list, those that served the least part of their attempts first")
 	return c
 }
 
-func upgrades() *cobra.Command {
-	u := lab.Upgrades{}
+func upgradesCommand() *cobra.Command {
+	u := rigplay.Upgrades{}
 	c := &cobra.Command{Use: "upgrades", Short: "Has real processes of the program take over from each other under load, and says what became of the requests", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return u.Play(cmd.OutOrStdout()) }}
 	c.Flags().StringVar(&u.Program, "program", "bin/harepass", "the built program")
@@ -147,8 +154,8 @@
 	return c
 }
 
-func fleet() *cobra.Command {
-	p := lab.Scenario{}
+func fleetCommand() *cobra.Command {
+	p := rigplay.Scenario{}
 	c := &cobra.Command{Use: "fleet SCENARIO.yaml", Short: "Plays a scenario of real processes, links that break and rules that hold, as the tests do; see internal/rig/scenarios", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error { return p.Play(args[0], cmd.OutOrStdout()) }}
 	c.Flags().StringVar(&p.Program, "program", "bin/harepass", "the built program")
@@ -157,7 +164,9 @@
 	return c
 }
 
-func coordinator() *cobra.Command {
-	return &cobra.Command{Use: lab.ServeCommand, Hidden: true, Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error { return lab.Serve(cmd.InOrStdin(), cmd.OutOrStdout()) }}
+func coordinatorCommand() *cobra.Command {
+	return &cobra.Command{Use: coordinator.ServeCommand, Hidden: true, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return coordinator.Serve(cmd.InOrStdin(), cmd.OutOrStdout())
+		}}
 }
--- a/internal/decide/overload/overload_test.go
+++ b/internal/decide/overload/overload_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"harepass/internal/decide/overload"
-	"harepass/internal/lab"
+	"harepass/internal/virtualloop"
 )
 
 const ms = time.Millisecond
@@ -23,8 +23,8 @@
 }
 
 // rush is that traffic times what factor says for each tenant; what goes beyond 1.1 lies beyond its share.
-func rush(length time.Duration, factor func(tenant string, t time.Duration) float64) lab.Rush {
-	r := lab.Rush{Time: length, Seed: 1, Retries: 2, Aim: 1500 * ms, Query: 300 * time.Microsecond, Part: 200 * time.Microsecond,
+func rush(length time.Duration, factor func(tenant string, t time.Duration) float64) virtualloop.Rush {
+	r := virtualloop.Rush{Time: length, Seed: 1, Retries: 2, Aim: 1500 * ms, Query: 300 * time.Microsecond, Part: 200 * time.Microsecond,
 		Refusal: 20 * time.Microsecond, Queue: 4000, Shares: map[string]float64{}}
 	for _, tenant := range []struct {
 		name  string
@@ -37,7 +37,7 @@
 			parts int
 			worth float64
 		}{{"route", 0.55, 4, 1}, {"hazard", 0.225, 1, 2}, {"summary", 0.225, 12, 3}} {
-			r.Loads = append(r.Loads, lab.Load{Class: class.name, Tenant: tenant.name, Parts: class.parts, Worth: class.worth,
+			r.Loads = append(r.Loads, virtualloop.Load{Class: class.name, Tenant: tenant.name, Parts: class.parts, Worth: class.worth,
 				Rate: func(t time.Duration) float64 { return normal * tenant.share * class.share * factor(tenant.name, t) }})
 		}
 	}
@@ -83,13 +83,13 @@
 }
 
 // share of a kind of traffic that was served.
-func served(t *lab.Tally) float64 { return t.Served / max(1, t.Asked) }
+func served(t *virtualloop.Tally) float64 { return t.Served / max(1, t.Asked) }
 
 // Three times the traffic for five seconds: the loop keeps up, what is served is worth more than first come's, and the
 // level is normal again soon after.
 func TestStep(t *testing.T) {
 	r := rush(12*time.Second, step)
-	plain := r.Play(lab.FirstCome{})
+	plain := r.Play(virtualloop.FirstCome{})
 	w := &watched{Controller: overload.New(config())}
 	got := r.Play(w)
 	if p99 := got.Wait(0.99, 0, 12*time.Second); p99 > 50*ms {
@@ -125,7 +125,7 @@
 		return 1
 	})
 	w := &watched{Controller: overload.New(config())}
-	got, plain := r.Play(w), r.Play(lab.FirstCome{})
+	got, plain := r.Play(w), r.Play(virtualloop.FirstCome{})
 	if p99 := got.Wait(0.99, 0, 12*time.Second); p99 > 100*ms || got.Total.Worth < 0.95*plain.Total.Worth || len(w.changes) > 20 {
 		t.Errorf("p99 %v, worth %.0f, first come %.0f, levels %v", p99, got.Total.Worth, plain.Total.Worth, w.changes)
 	}
--- /dev/null
+++ b/internal/lab/experiments/overload/aims.go
@@ -0,0 +1,97 @@
+package overload
+
+import (
+	"math"
+	"time"
+
+	"harepass/internal/lab"
+	"harepass/internal/loadgen"
+)
+
+// results are the outcomes of all variants.
+type results struct {
+	normal   float64 // queries a second
+	outcomes map[variant]*outcome
+}
+
+func (e results) normalTraffic() *outcome { return e.outcomes[variant{1, true}] }
+
+func (e results) rush() *outcome { return e.outcomes[variant{rushFactor, true}] }
+
+func (e results) rushFirstCome() *outcome { return e.outcomes[variant{rushFactor, false}] }
+
+// gain is the worth in the rush, over that of first come.
+func (e results) gain() float64 { return e.rush().Worth / math.Max(e.rushFirstCome().Worth, 1e-9) }
+
+// hazardsServed is the share of the hazard reports within their tenants' shares that were served in the rush.
+func (e results) hazardsServed() float64 {
+	hazards := e.rush().Classes[hazardReport]
+	return hazards.WithinServed / math.Max(1, hazards.Within)
+}
+
+// lost is how many tries were without a timely answer, with control.
+func (e results) lost() (lost int) {
+	for _, factor := range factors {
+		lost += e.outcomes[variant{factor, true}].Lost
+	}
+	return lost
+}
+
+// afterRush is how many tries there were, and how many of them were refused, in a second, two after the rush.
+func (e results) afterRush() (tries, refused int) {
+	const sliceTime = 100 * time.Millisecond
+	from := (rushEnd + 2*time.Second) / sliceTime
+	for _, s := range e.rush().Slices[from : from+time.Second/sliceTime] {
+		tries, refused = tries+s.Tries, refused+s.Refused
+	}
+	return tries, refused
+}
+
+func (e results) checkWorth(r *lab.Report) {
+	controlled, firstCome := e.normalTraffic(), e.outcomes[variant{1, false}]
+	r.Aim(e.rush().Wait99MS < maxLoopWaitMS, "the loop's p99 at three times is %.1f ms, under %d wanted", e.rush().Wait99MS, maxLoopWaitMS)
+	r.Aim(e.gain() >= minGain, "worth at three times is %.2f of first come's, %.1f wanted", e.gain(), minGain)
+	r.Aim(controlled.Worth >= minNormalWorth*firstCome.Worth, "worth at one time is %.3f, first come's %.3f", controlled.Worth/controlled.Most, firstCome.Worth/firstCome.Most)
+	r.Aim(e.hazardsServed() >= minHazards, "%.3f of the hazard reports within their share served, %.2f wanted", e.hazardsServed(), minHazards)
+	r.Aim(e.lost() == 0, "%d tries without a timely answer", e.lost())
+}
+
+// checkFairness holds the tenants within their shares against the one beyond it.
+func (e results) checkFairness(r *lab.Report) {
+	refusedShare := func(t *loadgen.TenantResult) float64 { return float64(t.Refused) / float64(t.Asked) }
+	tenants := e.rush().Tenants
+	unfair := 0.0
+	for name, t := range tenants {
+		if name != flooder {
+			unfair = max(unfair, refusedShare(t)-refusedShare(tenants[flooder]))
+		}
+	}
+	r.Aim(unfair <= 0, "a tenant within its share was refused %.3f more than the one beyond it", unfair)
+}
+
+// checkAfterRush tells whether refused clients come back too soon, and the level too late.
+func (e results) checkAfterRush(r *lab.Report) {
+	tries, refused := e.afterRush()
+	r.Aim(refused*20 <= tries && float64(tries) < 2.5*e.normal, "%d of %d tries refused in a second, two after the rush: who was refused comes back too soon", refused, tries)
+	levels := e.rush().Stats.Levels
+	normalAt, last := time.Hour.Seconds(), ""
+	for _, l := range levels {
+		if last = l.Level; l.Level == normalLevel && l.At > rushEnd.Seconds() {
+			normalAt = min(normalAt, l.At)
+		}
+	}
+	r.Aim(normalAt < (rushEnd+normalWithin).Seconds() && last == normalLevel, "levels %v: normal wanted within %v after %v, and at the end", levels, normalWithin, rushEnd)
+}
+
+func (e results) addKeys(r *lab.Report) {
+	tries, refused := e.afterRush()
+	r.Key("normal", "%.0f/s", e.normal)
+	r.Key("gain_at_3", "%.2f", e.gain())
+	r.Key("worth_at_1", "%.3f", e.normalTraffic().Worth/e.normalTraffic().Most)
+	r.Key("loop_p99_ms", "%.1f", e.rush().Wait99MS)
+	r.Key("first_come_p99_ms", "%.1f", e.rushFirstCome().Wait99MS)
+	r.Key("hazards", "%.3f", e.hazardsServed())
+	r.Key("tries_after", "%.2f", float64(tries)/e.normal)
+	r.Key("refused_after", "%d", refused)
+	r.Key("lost", "%d", e.lost())
+}
--- /dev/null
+++ b/internal/lab/experiments/overload/site.go
@@ -0,0 +1,129 @@
+package overload
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/lab/coordinator"
+	"harepass/internal/loadgen"
+	"harepass/internal/opensearch"
+	"harepass/internal/standin"
+)
+
+const (
+	sections       = 24
+	nodeCount      = 6
+	reach          = 3 // cells that hold a section
+	cores          = 2
+	target         = 10 * time.Millisecond // of overload control
+	answerTime     = 3 * time.Millisecond  // of the nodes, which always keep up
+	quotaOverUsual = 1.1                   // of each tenant's quota over its usual traffic
+	flooder        = "momiji-dake"         // the tenant that sends too much
+)
+
+// The classes of queries.
+const (
+	routeLookup       = "route-lookup"
+	hazardReport      = "hazard-report"
+	conditionsSummary = "conditions-summary"
+)
+
+// trafficShares are the tenants' shares of normal traffic.
+var trafficShares = map[string]float64{"kitakaze": 0.42, "shirakaba-yama": 0.41, flooder: 0.17}
+
+func tenantNames() []string { return slices.Sorted(maps.Keys(trafficShares)) }
+
+// settings are the Co-operative's classes, with quotas a tenth over normal traffic, in queries a second.
+func settings(normal float64) harepass.Settings {
+	s := harepass.Settings{Roots: 1, Cells: nodeCount, Reach: reach, CallBatch: 1, Turn: 5 * time.Millisecond, MaxAttempts: 4, Cancel: true,
+		RetryAdvice: time.Second, OverShareWorth: 0.05, Classes: []harepass.Class{
+			{Name: routeLookup, Aim: 1500 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.3, Need: 1, Floor: 1},
+			{Name: hazardReport, Aim: 1500 * time.Millisecond, Deadline: 5 * time.Second, Worth: 2, LateWorth: 0.1, Need: 1, Floor: 1, Repeat: harepass.SingleShot},
+			{Name: conditionsSummary, Aim: 1500 * time.Millisecond, Deadline: 5 * time.Second, Worth: 3, LateWorth: 0.3, Need: 1, Floor: 0.7}}}
+	for _, name := range tenantNames() {
+		s.Tenants = append(s.Tenants, harepass.Tenant{Name: name, Quota: quotaOverUsual * normal * trafficShares[name]})
+	}
+	return s
+}
+
+// plan is traffic of a rate, in queries a second, against a front at an address.
+func plan(address string, rate float64, length time.Duration) *loadgen.Plan {
+	p := &loadgen.Plan{Target: "http://" + address, Time: length, Rate: rate, Seed: 1, Retries: 2, Classes: []loadgen.Class{
+		{Name: routeLookup, Share: 0.55, Index: "trails", Sections: 8, Of: sections, Worth: 1, Aim: 1500 * time.Millisecond, Timeout: 3 * time.Second},
+		{Name: hazardReport, Share: 0.225, Index: "hazards", Report: true, Of: sections, Worth: 2, Aim: 1500 * time.Millisecond, Timeout: 3 * time.Second},
+		{Name: conditionsSummary, Share: 0.225, Index: "conditions", Of: sections, Worth: 3, Aim: 1500 * time.Millisecond, Timeout: 3 * time.Second}}}
+	for _, name := range tenantNames() {
+		p.Tenants = append(p.Tenants, loadgen.Tenant{Name: name, Caller: name, Share: trafficShares[name], Quota: quotaOverUsual * rate * trafficShares[name]})
+	}
+	return p
+}
+
+// config is a coordinator with overload control or first come, first served.
+func config(normal float64, memoryMB int, controlled bool) coordinator.Config {
+	c := coordinator.Config{Settings: settings(normal), Cores: cores, MemoryMB: memoryMB}
+	if controlled {
+		c.Target = target
+	}
+	return c
+}
+
+// nodes are what the emulated nodes of a play do and hold.
+type nodes struct {
+	script func(section, try int) standin.Reply
+	data   *standin.Data
+}
+
+// soundNodes always keep up and hold nothing.
+var soundNodes = nodes{script: func(int, int) standin.Reply { return standin.Reply{Kind: standin.Serve, After: answerTime} }}
+
+// outcome is what came of a play.
+type outcome struct {
+	*loadgen.Result
+	*coordinator.Stats
+}
+
+// play plays a plan, made for the address of the front, against a coordinator before its nodes.
+func play(c coordinator.Config, makePlan func(address string) *loadgen.Plan, n nodes) (*outcome, error) {
+	c.Sections = sections
+	c.Indices = map[string]*opensearch.Index{"trails": {Class: routeLookup}, "hazards": {Class: hazardReport, Reports: true}, "conditions": {Class: conditionsSummary}}
+	c.Callers = map[string]string{}
+	for _, name := range tenantNames() {
+		c.Callers[name] = name
+	}
+	for i := range nodeCount {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		go (&standin.Fleet{Script: n.script, Data: n.data}).API(l)
+		id := fmt.Sprint("node", i)
+		c.Nodes = append(c.Nodes, core.Node{Replica: harepass.Replica{ID: id, Cell: i}, Address: l.Addr().String(), Scheme: opensearch.Scheme})
+	}
+	process, err := c.Start()
+	if err != nil {
+		return nil, err
+	}
+	res, err := makePlan(process.Address).Run(context.Background(), nil)
+	stats, stopped := process.Stop()
+	if err = errors.Join(err, stopped); err != nil {
+		return nil, err
+	}
+	res.Levels, res.Waits = stats.Levels, stats.Waits
+	return &outcome{res, stats}, nil
+}
+
+// total sums the classes of a load up.
+func total(res *loadgen.Result) (sum loadgen.ClassResult) {
+	for _, c := range res.Classes {
+		sum.Asked, sum.Served, sum.Refused, sum.Late = sum.Asked+c.Asked, sum.Served+c.Served, sum.Refused+c.Refused, sum.Late+c.Late
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/lab/experiments/overload/slownodes.go
@@ -0,0 +1,76 @@
+package overload
+
+import (
+	"fmt"
+	"time"
+
+	"harepass/internal/lab"
+	"harepass/internal/lab/coordinator"
+	"harepass/internal/loadgen"
+	"harepass/internal/standin"
+)
+
+const (
+	slowMemoryMB    = 64
+	slowAnswerBytes = 15 << 10 // of each section
+	slowRate        = 150.0    // queries a second
+	slowAnswerTime  = 4 * time.Second
+	slowSection     = 0
+)
+
+// slowNodes hold large documents; one section answers late only.
+func slowNodes() nodes {
+	data := &standin.Data{}
+	note := make([]byte, slowAnswerBytes)
+	for i := range note {
+		note[i] = 'a' + byte(i%26)
+	}
+	for s := range sections {
+		data.Put(s, standin.Doc{ID: fmt.Sprint("d", s), Fields: map[string]any{"note": string(note)}})
+	}
+	return nodes{data: data, script: func(section, _ int) standin.Reply {
+		if section == slowSection {
+			return standin.Reply{Kind: standin.Serve, After: slowAnswerTime}
+		}
+		return standin.Reply{Kind: standin.Serve, After: answerTime}
+	}}
+}
+
+// summariesAndReports are the summaries, with a tenth of hazard reports.
+func summariesAndReports(address string) *loadgen.Plan {
+	p := plan(address, slowRate, 4*time.Second)
+	summaries, reports := p.Classes[2], p.Classes[1]
+	summaries.Share, reports.Share = 0.9, 0.1
+	p.Classes = []loadgen.Class{summaries, reports}
+	return p
+}
+
+// playSlowNodes has memory climb from slow nodes rather than from more arrivals: every answer of every section is held until
+// the last one's time is over.
+func playSlowNodes(r *lab.Report) error {
+	const limitMB = slowMemoryMB * coordinator.CollectorShare
+	slow := slowNodes()
+	firstCome, err := play(config(10*slowRate, slowMemoryMB, false), summariesAndReports, slow)
+	if err != nil {
+		return err
+	}
+	addSlowRow(r, false, firstCome)
+	controlled, err := play(config(10*slowRate, slowMemoryMB, true), summariesAndReports, slow)
+	if err != nil {
+		return err
+	}
+	addSlowRow(r, true, controlled)
+	r.Aim(controlled.Lost == 0, "slow nodes: %d tries without a timely answer", controlled.Lost)
+	r.Aim(controlled.LiveMB <= limitMB, "slow nodes: %.0f MB live, the limit is %.0f", controlled.LiveMB, limitMB)
+	r.Aim(firstCome.LiveMB > limitMB, "slow nodes: first come has %.0f MB live only: the case is too easy", firstCome.LiveMB)
+	r.Key("slow_live_mb", "%.0f", controlled.LiveMB)
+	r.Key("slow_first_come_mb", "%.0f", firstCome.LiveMB)
+	return nil
+}
+
+func addSlowRow(r *lab.Report, controlled bool, o *outcome) {
+	sum, hazards := total(o.Result), o.Classes[hazardReport]
+	r.Row("slow nodes", controlled, sum.Asked, sum.Served, sum.Refused, o.Lost, fmt.Sprintf("%.3f", o.Worth/o.Most),
+		fmt.Sprintf("%.0f/%.0f", hazards.WithinServed, hazards.Within), fmt.Sprintf("%.1f", o.Wait99MS), fmt.Sprintf("%.1f", o.WaitMaxMS),
+		fmt.Sprintf("%.1f", o.CPU), fmt.Sprintf("%.0f MB live", o.LiveMB))
+}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -1,3 +1,4 @@
+// Package lab runs experiments, each of which plays a change and the project's own baseline, and reports what came of them.
 package lab
 
 import (
--- a/internal/lab/logs_test.go
+++ b/internal/logview/logview_test.go
@@ -1,4 +1,4 @@
-package lab
+package logview
 
 import (
 	"errors"
@@ -33,9 +33,9 @@
 			t.Fatal(err)
 		}
 	}
-	f := NewFleet()
-	for _, each := range []func(LogLine){f.Learn, f.Add} {
-		if err := ReadLogs(dir, each); err != nil {
+	f := NewSummary()
+	for _, each := range []func(Line){f.Learn, f.Add} {
+		if err := ReadDir(dir, each); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -83,13 +83,13 @@
 }
 
 // Lines without the seconds in front count by their clock; quoted values keep their blanks.
-func TestParseLogLine(t *testing.T) {
-	l, ok := ParseLogLine("n0", `2026/12/01 20:50:33 DEBUG list call target="/a b" took=2s err=<nil>`)
+func TestParseLine(t *testing.T) {
+	l, ok := ParseLine("n0", `2026/12/01 20:50:33 DEBUG list call target="/a b" took=2s err=<nil>`)
 	if want := 20*time.Hour + 50*time.Minute + 33*time.Second; !ok || l.At != want || l.Name != "list call" || l.Attrs["target"] != "/a b" || l.Attrs["err"] != "<nil>" {
 		t.Errorf("%+v, %t", l, ok)
 	}
 	for _, line := range []string{"", "panic: no line", "1.5", `1.5 2026/12/01 20:50:33 DEBUG list call target="/a`} {
-		if l, ok := ParseLogLine("n0", line); ok {
+		if l, ok := ParseLine("n0", line); ok {
 			t.Errorf("%q is read as %+v", line, l)
 		}
 	}
@@ -98,10 +98,10 @@
 // Logs without a trace are told so rather than summed to nothing, and so is an empty folder.
 func TestLogsWithoutATrace(t *testing.T) {
 	dir := t.TempDir()
-	if err := ReadLogs(dir, func(LogLine) {}); err == nil {
+	if err := ReadDir(dir, func(Line) {}); err == nil {
 		t.Error("an empty folder is read")
 	}
-	if err := NewFleet().Print(&strings.Builder{}, 5); !errors.Is(err, ErrNoTrace) {
+	if err := NewSummary().Print(&strings.Builder{}, 5); !errors.Is(err, ErrNoTrace) {
 		t.Errorf("no attempts: %v", err)
 	}
 }
--- a/internal/lab/mountain.go
+++ b/internal/mountain/mountain.go
@@ -1,4 +1,5 @@
-package lab
+// Package mountain has the known data of emulated map nodes: the trails of each section.
+package mountain
 
 import (
 	"bytes"
@@ -23,15 +24,15 @@
 	Version float64 `yaml:"version"`
 }
 
-// Mountain is known data, by section.
-type Mountain map[int][]Trail
+// Sections are the trails of a mountain, by section.
+type Sections map[int][]Trail
 
 var slopes = []string{"north gully", "birch run", "ridge", "gondola line", "lower bowl", "forest path", "saddle", "east face"}
 
-// NewMountain makes the data of a seed: so many sections with so many trails each.
-func NewMountain(seed uint64, sections, trails int) Mountain {
+// New makes the data of a seed: so many sections with so many trails each.
+func New(seed uint64, sections, trails int) Sections {
 	rng := rand.New(rand.NewPCG(seed, 0x6d6f756e))
-	m := Mountain{}
+	m := Sections{}
 	for s := range sections {
 		for i := range trails {
 			m[s] = append(m[s], Trail{ID: fmt.Sprintf("t%d-%d", s, i), Name: slopes[rng.IntN(len(slopes))] + " " + strconv.Itoa(i),
@@ -41,13 +42,13 @@
 	return m
 }
 
-// LoadMountain reads a mountain from YAML: lists of trails by section.
-func LoadMountain(path string) (Mountain, error) {
+// Read reads a mountain from YAML: lists of trails by section.
+func Read(path string) (Sections, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	m := Mountain{}
+	m := Sections{}
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	dec.KnownFields(true)
 	if err := dec.Decode(&m); err != nil && err != io.EOF {
@@ -66,7 +67,7 @@
 }
 
 // Write writes the mountain as YAML.
-func (m Mountain) Write(w io.Writer) error {
+func (m Sections) Write(w io.Writer) error {
 	enc := yaml.NewEncoder(w)
 	defer enc.Close()
 	return enc.Encode(m)
@@ -77,8 +78,8 @@
 	return standin.Doc{ID: t.ID, Version: t.Version, Fields: map[string]any{"name": t.Name, "open": t.Open, "snow_cm": t.SnowCM}}
 }
 
-// Data is a node's copy.
-func (m Mountain) Data(record bool) *standin.Data {
+// Data is a copy for a node, which records its states over time if asked to.
+func (m Sections) Data(record bool) *standin.Data {
 	d := &standin.Data{Record: record}
 	for s, trails := range m {
 		var docs []standin.Doc
--- a/internal/lab/scenario.go
+++ b/internal/rigplay/scenario.go
@@ -1,4 +1,5 @@
-package lab
+// Package rigplay plays the rig's scenarios and upgrades, of real processes of the program, by hand and says what came of them.
+package rigplay
 
 import (
 	"errors"
@@ -13,7 +14,7 @@
 	"harepass/internal/rig"
 )
 
-// Scenario plays one of the rig's by hand.
+// Scenario is how a scenario of internal/rig is played.
 type Scenario struct {
 	Program  string // the built program
 	Settings string // file of the site's settings, as the platform words them
@@ -39,7 +40,7 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	began := time.Now()
+	start := time.Now()
 	f, err := rig.NewFleet(rig.FleetConfig{Dir: dir, Command: []string{program, "serve"}, Settings: settings}, s)
 	if err != nil {
 		return err
@@ -48,7 +49,7 @@
 	started, memory := f.Started()
 	f.Summary(out)
 	fmt.Fprintf(out, "%s: %d processes; serving after %v in the median, %.0f MB each in the median, %.0f MB at most; %v in all\n", s.Name, len(started),
-		middle(started).Round(time.Millisecond), float64(middle(memory))/1024, float64(slices.Max(append(memory, 0)))/1024, time.Since(began).Round(100*time.Millisecond))
+		median(started).Round(time.Millisecond), float64(median(memory))/1024, float64(slices.Max(append(memory, 0)))/1024, time.Since(start).Round(100*time.Millisecond))
 	if err == nil {
 		fmt.Fprintf(out, "%s: all that has to hold held\n", s.Name)
 	}
@@ -59,10 +60,10 @@
 	return errors.Join(err, f.Close())
 }
 
-func middle[T int | time.Duration](some []T) T {
-	if len(some) == 0 {
+func median[T int | time.Duration](values []T) T {
+	if len(values) == 0 {
 		return 0
 	}
-	slices.Sort(some)
-	return some[len(some)/2]
+	slices.Sort(values)
+	return values[len(values)/2]
 }
--- a/internal/lab/upgrades.go
+++ b/internal/rigplay/upgrades.go
@@ -1,4 +1,4 @@
-package lab
+package rigplay
 
 import (
 	"fmt"
@@ -22,9 +22,9 @@
 }
 
 const (
-	upNodes = 6
-	upWork  = 20 * time.Millisecond
-	upSlack = 1050 * time.Millisecond // the platform's rule on drains, with its slack
+	upgradeNodes = 6
+	partWork     = 20 * time.Millisecond
+	drainSlack   = 1050 * time.Millisecond // the platform's rule on drains, with its slack
 )
 
 // Play plays them, each with a node taken out before it and called back after it, and says what became of the clients'
@@ -39,7 +39,7 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	h, err := rig.NewHost(rig.Config{Dir: dir, Command: []string{u.Program, "serve"}, Settings: settings, Nodes: upNodes, Work: upWork, Slack: upSlack})
+	h, err := rig.NewHost(rig.Config{Dir: dir, Command: []string{u.Program, "serve"}, Settings: settings, Nodes: upgradeNodes, Work: partWork, Slack: drainSlack})
 	if err != nil {
 		return err
 	}
@@ -61,7 +61,7 @@
 	c := h.Crowd(u.Clients)
 	for i := range u.Count {
 		time.Sleep(u.Every)
-		if err := h.Take(now, i%upNodes, true); err != nil {
+		if err := h.Take(now, i%upgradeNodes, true); err != nil {
 			return err
 		}
 		p, took, err := next()
@@ -71,7 +71,7 @@
 		now.Process.Signal(syscall.SIGTERM)
 		end := <-now.Over
 		fmt.Fprintf(out, "upgrade %d: yes after %v; the old one ended with %v\n", i+1, took.Round(time.Millisecond), end)
-		if err := h.Take(p, i%upNodes, false); err != nil {
+		if err := h.Take(p, i%upgradeNodes, false); err != nil {
 			return err
 		}
 		now = p
--- a/internal/lab/change_test.go
+++ b/internal/testbed/change_test.go
@@ -1,4 +1,4 @@
-package lab
+package testbed
 
 import (
 	"encoding/json"
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"harepass/internal/mountain"
 	"harepass/internal/platform"
 )
 
@@ -15,13 +16,13 @@
 	truth := Truth{Cells: modelNodes, Reach: modelNodes, Floor: 0.7}
 	for i := range modelNodes {
 		n := &Node{ID: fmt.Sprint("node", i), Cell: i}
-		n.Data, n.Unit, n.Cores = NewMountain(1, modelSections, 5).Data(true), ms, 2
+		n.Data, n.Unit, n.Cores = mountain.New(1, modelSections, 5).Data(true), ms, 2
 		if i < frames {
 			n.Scheme = platform.Scheme
 		}
 		truth.Nodes = append(truth.Nodes, n)
 	}
-	c, err := Site{Settings: summaries(modelNodes, modelNodes), Sections: modelSections, Indices: indices(true), Memory: 1 << 20, Nodes: truth.Nodes}.Start()
+	c, err := Site{Settings: SummarySettings(modelNodes, modelNodes), Sections: modelSections, Indices: SummaryIndices(true), Memory: 1 << 20, Nodes: truth.Nodes}.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/coordinator.go
+++ b/internal/testbed/coordinator.go
@@ -1,10 +1,11 @@
-// Package lab is the laboratory: whole coordinators before emulated map nodes, load, and experiments that hold
-// the program against its own baseline. It has only what the operators' benches cannot show.
-package lab
+// Package testbed has whole coordinators in this process before emulated map nodes, and holds their answers against what the
+// nodes held. On an injected clock the same events play out the same way every time.
+package testbed
 
 import (
 	"encoding/json"
 	"net/textproto"
+	"slices"
 	"time"
 
 	"harepass"
@@ -40,14 +41,17 @@
 	Planner *twophase.Planner // the owner's: not to be touched while it runs
 	Clock   core.Clock
 
-	owner *core.Owner
-	front *opensearch.Front
-	ends  []func()
+	owner   *core.Owner
+	front   *opensearch.Front
+	closers []func()
 }
 
 const (
-	connectTime = 250 * time.Millisecond
-	keepTime    = 30 * time.Second
+	connectTimeout = 250 * time.Millisecond
+	quietTimeout   = 300 * time.Millisecond // of a connection on which answers are awaited in vain
+	keepAlive      = 30 * time.Second
+	framesStreams  = 32 // calls that a connection carries at a time
+	listSource     = "testbed"
 )
 
 // Start starts the nodes and the coordinator.
@@ -58,10 +62,10 @@
 	}
 	c := &Coordinator{Clock: core.SystemClock(), Planner: twophase.New(s.Memory)}
 	net := &standin.Net{}
-	frames := &platform.Nodes{Streams: 32, ConnectTimeout: connectTime, Quiet: 300 * time.Millisecond, KeepAlive: keepTime, Dial: net.Dial}
-	api := &opensearch.Nodes{Config: cfg, ConnectTimeout: connectTime, KeepAlive: keepTime, Dial: net.Dial}
+	frames := &platform.Nodes{Streams: framesStreams, ConnectTimeout: connectTimeout, Quiet: quietTimeout, KeepAlive: keepAlive, Dial: net.Dial}
+	api := &opensearch.Nodes{Config: cfg, ConnectTimeout: connectTimeout, KeepAlive: keepAlive, Dial: net.Dial}
 	owner, err := core.New(core.Config{Seed: 1, Settings: s.Settings, Limits: core.Limits{Shards: s.Sections}, Clock: c.Clock,
-		Callers: map[string]core.Caller{platform.Scheme: frames, opensearch.Scheme: api}, Subscribe: func() {}, Asked: "lab",
+		Callers: map[string]core.Caller{platform.Scheme: frames, opensearch.Scheme: api}, Subscribe: func() {}, Asked: listSource,
 		Planner: c.Planner, Firsts: cfg.Firsts(), Schemes: map[string]bool{opensearch.Scheme: true}, Retained: s.Memory, Gate: s.Gate})
 	if err != nil {
 		return nil, err
@@ -69,29 +73,33 @@
 	c.owner, frames.Owner, api.Owner = owner, owner, owner
 	c.front = &opensearch.Front{Config: cfg, Owner: owner, Clock: c.Clock}
 	go owner.Run()
-	var list []core.Node
-	for _, n := range s.Nodes {
-		l := net.Listen(n.ID)
-		c.ends = append(c.ends, func() { l.Close() })
+	owner.Listed(listSource, harepass.ListFull, c.serveNodes(net, s.Nodes))
+	<-owner.Started()
+	c.closers = append(c.closers, func() { owner.Stop(); frames.Close(); api.Close() })
+	return c, nil
+}
+
+// serveNodes has the nodes listen on the network in memory, and returns them as lists have them.
+func (c *Coordinator) serveNodes(net *standin.Net, nodes []*Node) (list []core.Node) {
+	for _, n := range nodes {
+		listener := net.Listen(n.ID)
+		c.closers = append(c.closers, func() { listener.Close() })
 		scheme := opensearch.Scheme
 		if n.Scheme == platform.Scheme {
 			scheme = platform.Scheme
-			go n.Frames(l)
+			go n.Frames(listener)
 		} else {
-			go n.Fleet.API(l)
+			go n.API(listener)
 		}
 		list = append(list, core.Node{Replica: harepass.Replica{ID: n.ID, Cell: n.Cell}, Address: n.ID, Scheme: scheme})
 	}
-	owner.Listed("lab", harepass.ListFull, list)
-	<-owner.Started()
-	c.ends = append(c.ends, func() { owner.Stop(); frames.Close(); api.Close() })
-	return c, nil
+	return list
 }
 
 // Close ends the coordinator, then the nodes.
 func (c *Coordinator) Close() {
-	for i := range c.ends {
-		c.ends[len(c.ends)-1-i]()
+	for _, closer := range slices.Backward(c.closers) {
+		closer()
 	}
 }
 
@@ -99,7 +107,7 @@
 func (c *Coordinator) Search(target string, body any) (status int, answer []byte) {
 	data, err := json.Marshal(body)
 	if err != nil {
-		panic(err) // the laboratory's own
+		panic(err) // the body is the caller's own and has to be fit for JSON
 	}
 	m := c.front.Handle(&http1.Message{Method: "POST", Target: target, Header: textproto.MIMEHeader{}, Body: data}, make(chan struct{}))
 	return m.Status, m.Body
--- a/internal/lab/drain_test.go
+++ b/internal/testbed/drain_test.go
@@ -1,4 +1,4 @@
-package lab
+package testbed
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 	"harepass/internal/core"
 	"harepass/internal/decide/overload"
 	"harepass/internal/guard"
+	"harepass/internal/mountain"
 	"harepass/internal/standin"
 )
 
@@ -21,7 +22,7 @@
 		truth := Truth{Cells: modelNodes, Reach: modelNodes, Floor: 0.7}
 		for i := range modelNodes {
 			n := &Node{ID: fmt.Sprint("node", i), Cell: i}
-			n.Data, n.Unit, n.Cores = NewMountain(1, modelSections, 5).Data(true), ms, 4
+			n.Data, n.Unit, n.Cores = mountain.New(1, modelSections, 5).Data(true), ms, 4
 			n.Script = func(_, try int) standin.Reply { return standin.Reply{Kind: standin.Kind(try % 23 / 21)} } // some errors
 			truth.Nodes = append(truth.Nodes, n)
 		}
@@ -38,7 +39,7 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go g.Run(ctx)
-		c, err := Site{Settings: summaries(modelNodes, modelNodes), Sections: modelSections, Indices: indices(false), Nodes: truth.Nodes, Gate: g}.Start()
+		c, err := Site{Settings: SummarySettings(modelNodes, modelNodes), Sections: modelSections, Indices: SummaryIndices(false), Nodes: truth.Nodes, Gate: g}.Start()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/model_test.go
+++ b/internal/testbed/model_test.go
@@ -1,4 +1,4 @@
-package lab
+package testbed
 
 import (
 	"flag"
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"harepass/internal/mountain"
 	"harepass/internal/platform"
 	"harepass/internal/standin"
 )
@@ -112,7 +113,7 @@
 		}
 		d.Delete(c.section, newest.ID)
 	case "back": // the node was started again with what it first had
-		d.Set(c.section, NewMountain(1, modelSections, 5).Data(false).Docs(c.section))
+		d.Set(c.section, mountain.New(1, modelSections, 5).Data(false).Docs(c.section))
 	case "unversioned":
 		d.Put(c.section, standin.Doc{ID: id, Version: "", Fields: fields})
 	case "word":
@@ -124,12 +125,12 @@
 
 // play runs a script against the whole path, and returns what is wrong with the answers, and what they were.
 func play(p script) (faults []string, seen map[string]int) {
-	mountain := NewMountain(1, modelSections, 5)
+	trails := mountain.New(1, modelSections, 5)
 	began := time.Now()
 	truth := Truth{Cells: modelNodes, Reach: modelNodes, Floor: 0.7}
 	for i := range modelNodes {
 		n := &Node{ID: fmt.Sprint("node", i), Cell: i}
-		n.Data = mountain.Data(true)
+		n.Data = trails.Data(true)
 		n.Unit, n.Cores = ms, 2
 		n.Script = func(int, int) standin.Reply {
 			now := time.Since(began)
@@ -145,7 +146,7 @@
 		}
 		truth.Nodes = append(truth.Nodes, n)
 	}
-	c, err := Site{Settings: summaries(modelNodes, modelNodes), Sections: modelSections, Indices: indices(true), Memory: 1 << 20, Nodes: truth.Nodes}.Start()
+	c, err := Site{Settings: SummarySettings(modelNodes, modelNodes), Sections: modelSections, Indices: SummaryIndices(true), Memory: 1 << 20, Nodes: truth.Nodes}.Start()
 	if err != nil {
 		return []string{err.Error()}, nil
 	}
--- a/internal/lab/race_test.go
+++ b/internal/testbed/race_test.go
@@ -1,6 +1,6 @@
 //go:build race
 
-package lab
+package testbed
 
 import "runtime"
 
--- a/internal/lab/truth.go
+++ b/internal/testbed/truth.go
@@ -1,4 +1,4 @@
-package lab
+package testbed
 
 import (
 	"encoding/json"
@@ -73,7 +73,7 @@
 	}
 	got := map[int][]string{}
 	for _, h := range a.Hits.Hits {
-		id := word(h.ID, h.Source.Version, h.Source.SnowCM)
+		id := docText(h.ID, h.Source.Version, h.Source.SnowCM)
 		if h.Source.Body != nil { // a node that speaks frames
 			id = *h.Source.Body
 		}
@@ -87,7 +87,7 @@
 			}
 			continue
 		}
-		if had := t.values(query, s, from, to); !had[value] {
+		if had := t.Values(query, s, from, to); !had[value] {
 			fault("section %d: [%s] was at no holder between %v and %v, but %q", s, value, from, to, slices.Sorted(maps.Keys(had)))
 		}
 		delete(got, s)
@@ -100,11 +100,11 @@
 	return faults
 }
 
-// word is a document in a value: its id, its version and what it says.
-func word(id string, version, says any) string { return fmt.Sprintf("%s@%v=%v", id, version, says) }
+// docText is a document within a value: its id, its version and what it says.
+func docText(id string, version, says any) string { return fmt.Sprintf("%s@%v=%v", id, version, says) }
 
-// values are those that some holder of a section would have given.
-func (t Truth) values(query map[string]any, section int, from, to time.Time) map[string]bool {
+// Values are those that some holder of a section would have given.
+func (t Truth) Values(query map[string]any, section int, from, to time.Time) map[string]bool {
 	raw, _ := json.Marshal(query)
 	var q map[string]json.RawMessage
 	json.Unmarshal(raw, &q)
@@ -119,7 +119,7 @@
 			var list []string
 			for _, doc := range state.Docs {
 				if standin.Matches(section, doc, q) {
-					list = append(list, word(doc.ID, doc.Version, doc.Fields["snow_cm"]))
+					list = append(list, docText(doc.ID, doc.Version, doc.Fields["snow_cm"]))
 				}
 			}
 			slices.Sort(list)
