Rig: the crowd's clients in a file of their own, outcomes and limits under names

internal/rig/crowd.go mixed the crowd, the clients' connections and the wording of requests, with outcomes as bare strings in three places and names such as visitor, leave, once, unsure and back. http_client.go has the client with its connection now; outcomes are constants, and fields say what they count (unanswered, unsent). The strings themselves, the exported functions and the files' formats are as before.

--- a/internal/rig/crowd.go
+++ b/internal/rig/crowd.go
@@ -1,25 +1,20 @@
 package rig
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
-	"io"
+	"maps"
 	"math/rand/v2"
-	"net"
-	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 )
 
 const (
-	reports = "h-" // begins the ids of hazard reports
-	gap     = 20 * time.Millisecond
-	budget  = 2900 * time.Millisecond
-	giveUp  = 10 * time.Second // with a connection that says nothing
-	tries   = 3                // of a request that was turned back unheard
+	reportPrefix = "h-"                    // of the ids of hazard reports
+	maxPause     = 20 * time.Millisecond   // of a client between two requests
+	budget       = 2900 * time.Millisecond // that requests state
+	giveUp       = 10 * time.Second        // with a connection that says nothing
+	maxTries     = 3                       // of a request that was turned back unheard
 )
 
 // Crowd are clients that keep their connections and ask all the time, each one request at a time.
@@ -30,10 +25,10 @@
 	stop     chan struct{}
 	wg       sync.WaitGroup
 
-	mu     sync.Mutex
-	tally  map[string]int
-	unsure int
-	back   int
+	mu         sync.Mutex
+	tally      map[string]int
+	unanswered int // connections that ended under a request
+	unsent     int // of these, whose request no node was asked for
 }
 
 // Crowd lets so many clients begin.
@@ -41,6 +36,7 @@
 	return newCrowd(n, h.Clients.Addr().String(), h.Sent, func(_, i int) (string, []int) { return kinds[i%len(kinds)].class, kinds[i%len(kinds)].sections })
 }
 
+// newCrowd lets so many clients ask a coordinator at an address; sent tells whether a node was asked for some part of a query.
 func newCrowd(n int, address string, sent func(string) bool, question func(who, i int) (string, []int)) *Crowd {
 	c := &Crowd{address: address, sent: sent, question: question, stop: make(chan struct{}), tally: map[string]int{}}
 	for i := range n {
@@ -55,23 +51,26 @@
 	c.wg.Wait()
 }
 
-// Tally is how requests have ended: by status, or "refused" for a connection that never came up, "lost" for a request that
-// was heard and never answered, "twice" for one answered again, "untrue" for one answered with what no node has served.
+// Outcomes of requests besides the status of an answer.
+const (
+	OutcomeRefused = "refused" // the connection never came up
+	OutcomeLost    = "lost"    // heard and never answered
+	OutcomeTwice   = "twice"   // answered again
+	OutcomeUntrue  = "untrue"  // answered with what no node has served
+)
+
+// Tally counts how requests have ended, by status or by one of the other outcomes.
 func (c *Crowd) Tally() map[string]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := map[string]int{}
-	for k, n := range c.tally {
-		t[k] = n
-	}
-	return t
+	return maps.Clone(c.tally)
 }
 
 // TurnedBack is how many connections ended under a request without a word, and how many of these requests were never sent on.
-func (c *Crowd) TurnedBack() (unsure, unheard int) {
+func (c *Crowd) TurnedBack() (unanswered, unsent int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.unsure, c.back
+	return c.unanswered, c.unsent
 }
 
 func (c *Crowd) count(what string) {
@@ -86,130 +85,54 @@
 	sections []int
 }{{"route-lookup", []int{1}}, {"hazard-report", []int{1}}, {"conditions-summary", []int{0, 4}}}
 
-// request words one, as clients do: equal weights, rounded.
-func request(id, class string, sections []int) string {
-	var parts []string
-	for _, s := range sections {
-		parts = append(parts, fmt.Sprintf(`{"slice":%d,"mass":%.6f}`, s, 1/float64(len(sections))))
-	}
-	body := fmt.Sprintf(`{"slices":[%s],"filter":"f"}`, strings.Join(parts, ","))
-	return fmt.Sprintf("POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Call-Class: %s\r\nX-Caller: kitakaze\r\nX-Budget: %dm\r\nContent-Length: %d\r\n\r\n%s",
-		id, class, budget.Milliseconds(), len(body), body)
-}
-
 // name makes a part of an id of an address: of all of it, since processes have loopback addresses of their own and may have
 // the same port.
 var name = strings.NewReplacer(".", "-", ":", "-")
 
+// client is one of them: it asks until the crowd ends.
 func (c *Crowd) client(who int) {
-	w := &visitor{address: c.address}
-	defer w.leave()
+	client := &httpClient{address: c.address}
+	defer client.disconnect()
 	for i := 0; ; i++ {
 		select {
 		case <-c.stop:
 			return
-		case <-time.After(rand.N(gap)):
+		case <-time.After(rand.N(maxPause)):
 		}
 		class, sections := c.question(who, i)
-		c.ask(w, fmt.Sprintf("%s-%s-%d-%d", class[:1], name.Replace(c.address), who, i), class, sections)
-	}
-}
-
-// visitor is a client with its connection.
-type visitor struct {
-	address string
-	conn    net.Conn
-	in      *bufio.Reader
-}
-
-func (w *visitor) leave() {
-	if w.conn != nil {
-		w.conn.Close()
-		w.conn = nil
+		c.ask(client, fmt.Sprintf("%s-%s-%d-%d", class[:1], name.Replace(c.address), who, i), class, sections)
 	}
 }
 
 // ask asks until there is an answer, as clients do: again only where the request was not heard.
-func (c *Crowd) ask(w *visitor, id, class string, sections []int) {
+func (c *Crowd) ask(client *httpClient, id, class string, sections []int) {
 	text := request(id, class, sections)
-	for range tries {
-		answer, status, err := w.once(text)
+	for range maxTries {
+		answer, status, err := client.roundTrip(text)
 		if err == nil {
 			c.count(status)
 			if answer.twice {
-				c.count("twice")
+				c.count(OutcomeTwice)
 			}
 			if status == "200" && !answer.holds(sections) {
-				c.count("untrue")
+				c.count(OutcomeUntrue)
 			}
 			return
 		}
-		w.leave()
-		if status == "refused" {
+		client.disconnect()
+		if status == OutcomeRefused {
 			c.count(status)
 			return
 		}
 		sent := c.sent(id)
 		c.mu.Lock()
-		if c.unsure++; !sent {
-			c.back++
+		if c.unanswered++; !sent {
+			c.unsent++
 		}
 		c.mu.Unlock()
 		if sent {
 			break
 		}
 	}
-	c.count("lost")
-}
-
-// answer is what a request was served with.
-type answer struct {
-	Entire bool
-	Items  []struct {
-		Slice int
-		Body  string
-	}
-	twice bool
-}
-
-// holds tells whether the values are those that nodes serve for these sections, each at most once, and all of them where the
-// answer says so.
-func (a answer) holds(sections []int) bool {
-	seen := map[int]bool{}
-	for _, v := range a.Items {
-		if seen[v.Slice] || !slices.Contains(sections, v.Slice) || v.Body != fmt.Sprint("v", v.Slice) {
-			return false
-		}
-		seen[v.Slice] = true
-	}
-	return !a.Entire || len(seen) == len(sections)
-}
-
-// once sends the request and takes its answer.
-func (w *visitor) once(text string) (a answer, status string, err error) {
-	if w.conn == nil {
-		if w.conn, err = net.DialTimeout("tcp", w.address, giveUp); err != nil {
-			w.conn = nil
-			return a, "refused", err
-		}
-		w.in = bufio.NewReader(w.conn)
-	}
-	w.conn.SetDeadline(time.Now().Add(giveUp))
-	if _, err := io.WriteString(w.conn, text); err != nil {
-		return a, "", err
-	}
-	res, err := http.ReadResponse(w.in, nil)
-	if err != nil {
-		return a, "", err
-	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
-	if err == nil && res.StatusCode == http.StatusOK {
-		err = json.Unmarshal(data, &a)
-	}
-	a.twice = w.in.Buffered() > 0
-	if res.Close {
-		w.leave()
-	}
-	return a, fmt.Sprint(res.StatusCode), err
+	c.count(OutcomeLost)
 }
--- a/internal/rig/host.go
+++ b/internal/rig/host.go
@@ -176,7 +176,7 @@
 	runs := map[string]int{}
 	for _, n := range h.Nodes {
 		for _, line := range n.Seen() {
-			if id, _, _ := strings.Cut(line, " "); strings.HasPrefix(id, reports) {
+			if id, _, _ := strings.Cut(line, " "); strings.HasPrefix(id, reportPrefix) {
 				if runs[id]++; runs[id] == 2 {
 					err = errors.Join(err, fmt.Errorf("rig: the hazard report %s ran twice", id))
 				}
--- a/internal/rig/play.go
+++ b/internal/rig/play.go
@@ -190,9 +190,9 @@
 		tries := 0
 		err = errors.Join(err, Wait(m.name+" serves a whole summary after the faults", func() bool {
 			tries++
-			w := &visitor{address: m.listen}
-			defer w.leave()
-			answer, _, err := w.once(request(fmt.Sprintf("s-%s-%d", m.name, tries), class, sections))
+			client := &httpClient{address: m.listen}
+			defer client.disconnect()
+			answer, _, err := client.roundTrip(request(fmt.Sprintf("s-%s-%d", m.name, tries), class, sections))
 			return err == nil && answer.Entire
 		}))
 	}
--- a/internal/rig/records.go
+++ b/internal/rig/records.go
@@ -65,7 +65,7 @@
 	r.parts++
 	query, _, _ := strings.Cut(id, ".")
 	r.queries[query] = struct{}{}
-	if strings.HasPrefix(query, reports) && did != standin.Reject {
+	if strings.HasPrefix(query, reportPrefix) && did != standin.Reject {
 		if before, ran := r.runs[id]; ran {
 			r.breach("the hazard report %s ran at %s and at %s", id, before, n.name)
 		}
--- a/internal/rig/verdict.go
+++ b/internal/rig/verdict.go
@@ -15,13 +15,13 @@
 		err = errors.Join(err, fmt.Errorf("rig: "+format, args...))
 	}
 	total := f.tally()
-	for _, bad := range []string{"twice", "untrue"} {
+	for _, bad := range []string{OutcomeTwice, OutcomeUntrue} {
 		if total[bad] > 0 {
 			say("%d requests were answered %s", total[bad], bad)
 		}
 	}
-	if total["lost"] > f.Lost {
-		say("%d requests were heard and never answered, at most %d may be", total["lost"], f.Lost)
+	if total[OutcomeLost] > f.Lost {
+		say("%d requests were heard and never answered, at most %d may be", total[OutcomeLost], f.Lost)
 	}
 	if total["200"] == 0 {
 		say("nothing was served: no load")
