--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -28,7 +28,7 @@
 func Full(helpers Helpers) Plan {
 	return Plan{Nodes: []int{70, 220, 700, 2200, DataNodes}, Wide: []int{70, 220, 700, 2200, DataNodes}, Open: []int{1, 4, 12, 36}, Parts: []int{4, 12, 40, QueryParts},
 		Entries: []int{4, 12, 37, 115, zoneEntries}, Rates: []int{1, 3, 10, 32}, Connections: []int{46, 146, 466, 1466, keptNodes},
-		Fleet: []int{15, 47, 150, 475, Coordinators}, Effort: Effort{Repeats: 5, CPU: 25 * time.Millisecond, Most: 2000}, Readers: []int{10, 32, 100, 320, 1000}, Heartbeat: distribution.DefaultHold, Helpers: helpers}
+		Fleet: []int{15, 47, 150, 475, Coordinators}, Effort: Effort{Repeats: 5, CPU: 25 * time.Millisecond, Most: 2000}, Readers: []int{10, 32, 100, 320, 1000}, Heartbeat: heartbeat, Helpers: helpers}
 }
 
 // Small is the same shape at small size, for tests: one operation for each point.
@@ -38,6 +38,7 @@
 }
 
 const (
+	heartbeat   = distribution.DefaultHold
 	zoneEntries = DataNodes / Zones                     // nodes of a zone
 	keptNodes   = (2*DataNodes + holders - 1) / holders // that one coordinator keeps connections with: two holders of each section
 )
@@ -94,6 +95,30 @@
 		r.Series = append(r.Series, s)
 		fmt.Fprintf(progress, "%-24s %6.1f s\n", s.Name, time.Since(began).Seconds())
 	}
+	r.Bounds = bounds(r)
 	r.Seconds = round(time.Since(began).Seconds())
 	return r, nil
 }
+
+// mostGrowth is how much dearer one changed entry may be at the largest list than at the smallest, a hundredth of it.
+const mostGrowth = 2
+
+// growing are the series that are held to that; those of them that the tree is stated to hold are marked.
+var growing = []struct {
+	series string
+	stated bool
+}{{"change-module", false}, {"change-path", false}, {"member-change", false}, {"change-touched", false}}
+
+// bounds are a run's figures beside what they may be.
+func bounds(r *Run) (list []Bound) {
+	for _, g := range growing {
+		s := r.Find(g.series)
+		if s == nil {
+			continue
+		}
+		first, largest := s.Points[0], s.Points[len(s.Points)-1]
+		list = append(list, Bound{Name: fmt.Sprintf("`%s`: %s nodes over %s", g.series, number(largest.X), number(first.X)), Figure: round(largest.Median / first.Median),
+			Most: mostGrowth, Unit: "times", Stated: g.stated})
+	}
+	return list
+}
