Module: a changed entry of the list costs what it concerns, with the same actions

One changed entry walked every replica and refilled every shard in use, so its cost grew with the list and, in use, with its square. Replicas are watched while an attempt can be overdue, and a query whose parts are all out and not overdue is not driven.

--- a/aggregator.go
+++ b/aggregator.go
@@ -79,6 +79,7 @@
 		return err
 	}
 	a.set, a.dirty = s, true
+	a.reform()
 	a.settle()
 	a.reclass()
 	a.partial = slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Floor < c.Need })
@@ -121,6 +122,7 @@
 		case QueryDue:
 			if q := a.queries[ev.ID]; q != nil {
 				q.end = a.now
+				q.stir()
 			}
 		case Woken:
 			a.wakeAt = 0
@@ -135,8 +137,9 @@
 		if !q.admitted {
 			a.admit(q)
 		}
-		if !q.closed {
+		if !q.closed && !a.resting(q) {
 			a.drive(q)
+			a.rest(q)
 		}
 	}
 	a.open = slices.DeleteFunc(a.open, func(q *query) bool { return q.closed })
@@ -171,9 +174,11 @@
 // Shares.
 
 // ramp is the share of its capacity that a replica has for certain.
-func (a *Aggregator) ramp(r *replica) float64 {
-	c := a.set.Cold
-	age := a.now - r.coldFrom
+func (a *Aggregator) ramp(r *replica) float64 { return a.rampAt(r, a.now) }
+
+func (a *Aggregator) rampAt(r *replica, at time.Duration) float64 {
+	c := &a.set.Cold
+	age := at - r.coldFrom
 	if r.coldFrom == 0 || c.WarmWithin <= 0 || c.Multiple <= 0 || age >= c.WarmWithin {
 		return 1
 	}
@@ -184,12 +189,7 @@
 func (a *Aggregator) refill() {
 	if a.now >= a.nextRefill {
 		a.nextRefill = a.now + refillEvery
-		for _, s := range a.touched {
-			for k := range s.rates {
-				s.rates[k] = rateKeep*s.rates[k] + s.counts[k]
-				s.counts[k] = 0
-			}
-		}
+		a.decays++
 		a.idleLimit = min(scale(a.idleLimit, idleGrow), never)
 		warm := count(a.replicas, func(r *replica) bool { return a.keeps(r) && a.ramp(r) == 1 })
 		gain := max(1-rateKeep, 1/(a.refills+1)) // what a young root has seen counts in full
@@ -204,20 +204,22 @@
 	}
 	a.dirty = false
 	a.settle()
-	for _, s := range a.touched {
-		a.refillShard(s)
-	}
+	a.renew()
 }
 
 // refillShard fills the replicas of one shard greedily, tightest aim first; a class whose mean there exceeds
 // its aim moves to the front, once. The slowest part's mean exceeds the aim exactly where some shard's does.
-func (a *Aggregator) refillShard(s *shard) {
+func (a *Aggregator) refillShard(s *shard) { a.refillBy(s, a.present()) }
+
+func (a *Aggregator) refillBy(s *shard, by basis) {
+	a.work.shards++
 	a.hold(s)
-	order := slices.Clone(a.classes)
+	order := append(a.order[:0], a.classes...)
+	a.order = order
 	slices.SortStableFunc(order, func(x, y *class) int { return int(x.Aim - y.Aim) })
 	for range order {
-		a.fill(s, order)
-		late := slices.IndexFunc(order, func(c *class) bool { return s.mean(c) > c.Aim.Seconds() })
+		a.fill(s, order, by.at)
+		late := slices.IndexFunc(order, func(c *class) bool { return s.mean(c, by.bases[c.idx]) > c.Aim.Seconds() })
 		if late <= 0 {
 			return
 		}
@@ -226,16 +228,17 @@
 	}
 }
 
-func (a *Aggregator) fill(s *shard, order []*class) {
-	n := len(s.holders)
-	equal, total := make([]float64, n), 0.0 // equal shares, a cold holder's in proportion to its ramp
+func (a *Aggregator) fill(s *shard, order []*class, at time.Duration) {
+	n, total := len(s.holders), 0.0
+	equal := resize(&a.equal, n) // equal shares, a cold holder's in proportion to its ramp
 	for i, r := range s.holders {
+		equal[i] = 0
 		if i < s.kept && r.ready() {
-			equal[i] = a.ramp(r)
+			equal[i] = a.rampAt(r, at)
 			total += equal[i]
 		}
 	}
-	rate, room := 0.0, make([]float64, n)
+	rate, room := 0.0, resize(&a.room, n)
 	for _, v := range s.rates {
 		rate += max(v, weightSlack)
 	}
@@ -245,14 +248,14 @@
 	}
 	for _, c := range order {
 		demand := max(s.rates[c.idx], weightSlack)
-		x := make([]float64, n)
+		x := resize(&s.shares[c.idx], n)
 		for i := range x {
 			x[i] = floorFactor * equal[i]
 		}
 		left := (1 - floorFactor) * demand
 		for left > weightSlack*demand {
-			tied, width := s.cheapest(room)
-			if len(tied) == 0 {
+			tied, width := s.cheapest(room, a.tied[:0])
+			if a.tied = tied; len(tied) == 0 {
 				break
 			}
 			give := min(left, width)
@@ -266,12 +269,11 @@
 			}
 			left -= give
 		}
-		s.shares[c.idx] = x
 	}
 }
 
 // cheapest lists the holders with room whose mean ties with the lowest, and their room together.
-func (s *shard) cheapest(room []float64) (tied []int, width float64) {
+func (s *shard) cheapest(room []float64, tied []int) (_ []int, width float64) {
 	low := math.Inf(1)
 	for i, r := range s.holders {
 		if room[i] > 0 {
@@ -323,6 +325,7 @@
 		return
 	}
 	p := &part{PartArrived: ev, q: q}
+	q.stir()
 	q.parts = append(q.parts, p)
 	a.parts[p.ID] = p
 	if s := a.shardOf(ev.Shard); !ev.Held { // a held part is no load yet
@@ -339,6 +342,7 @@
 		if p.Held && !ev.In {
 			a.shardOf(p.Shard).counts[p.q.cls.idx]++
 		}
+		p.q.stir()
 		if p.Held = false; ev.In {
 			a.serve(p)
 		}
@@ -367,7 +371,7 @@
 		a.giveUp(q)
 		return
 	}
-	a.asked += float64(len(q.parts)) / max(1, min(count(a.replicas, (*replica).ready), float64(a.set.Cells)))
+	a.asked += float64(len(q.parts)) / max(1, float64(min(a.ready, a.set.Cells)))
 	// An answer in part does without shut shards; half way to the floor without crowded ones and light parts.
 	light := slices.Clone(q.parts)
 	slices.SortStableFunc(light, func(x, y *part) int { return cmp.Compare(x.Weight, y.Weight) })
@@ -803,6 +807,7 @@
 
 // judge draws from an attempt's outcome what it says of its replica. Quick failures never look like speed.
 func (a *Aggregator) judge(r *replica, c *class, at *attempt, ev AttemptEnded) {
+	a.before(r)
 	took := ev.Took.Seconds()
 	if at.excused || a.heldUp { // its time tells of this root, not of the replica
 		took = min(took, r.ratio*c.base)
@@ -902,7 +907,8 @@
 // doubt takes a replica out of the ready ones; each failed trial doubles the pause before the next.
 func (a *Aggregator) doubt(r *replica, at *attempt) {
 	if !r.suspect {
-		r.suspect, r.suspectAt, r.pause, a.dirty = true, a.now, max(r.pause, a.firstPause()), true
+		a.setSuspect(r, true)
+		r.suspectAt, r.pause, a.dirty = a.now, max(r.pause, a.firstPause()), true
 	} else if at != nil && at.sent >= r.suspectAt {
 		r.pause = min(2*r.pause, scale(a.tightest, trialLast))
 	}
@@ -930,7 +936,8 @@
 
 // welcome makes a suspect ready again, as a joiner, and cold if its process may be a new one.
 func (a *Aggregator) welcome(r *replica) {
-	r.suspect, r.failing, r.good, r.errors, a.dirty = false, false, 0, 0, true
+	a.setSuspect(r, false)
+	r.failing, r.good, r.errors, a.dirty = false, 0, 0, true
 	r.pause /= 2 // not to nothing: who flaps waits longer each time
 	if r.restarted {
 		r.restarted = false
@@ -945,8 +952,8 @@
 	r.coldFrom, r.coldTokens, r.coldAt = since, a.rng.Float64(), a.now
 }
 
-// ratios lists the ratios of the ready ones of some replicas, in order.
-func ratios(some []*replica) (list []float64) {
+// ratios lists the ratios of the ready ones of some replicas, in order, in the space of a list.
+func ratios(some []*replica, list []float64) []float64 {
 	for _, r := range some {
 		if r.ready() {
 			list = append(list, r.ratio)
@@ -959,14 +966,15 @@
 // join sets a replica's ratio to its siblings' average, or to the common one where it has none.
 func (a *Aggregator) join(r *replica) {
 	r.ratio = 1
-	for i, v := range ratios(r.siblings) {
+	for i, v := range ratios(r.siblings, nil) {
 		r.ratio += (v - r.ratio) / float64(i+1)
 	}
 }
 
 // usual is the lower median ratio of the ready ones: what is common to all is load, not illness.
 func usual(some []*replica) float64 {
-	if list := ratios(some); len(list) > 0 {
+	var space [16]float64
+	if list := ratios(some, space[:0]); len(list) > 0 {
 		return list[(len(list)-1)/2]
 	}
 	return math.Inf(1)
@@ -982,7 +990,7 @@
 // watchReplicas finds the silent (a part long overdue, nothing answered since it was sent, though others did
 // answer) and the slow (a ratio far above the others').
 func (a *Aggregator) watchReplicas() {
-	for _, r := range a.replicas {
+	for _, r := range a.watched() {
 		for _, at := range r.out {
 			at.excused = at.excused || a.heldUp
 			if out := a.now - at.sent; out > scale(at.part.q.cls.overdue, silentFactor) && // late is no sooner
@@ -1010,49 +1018,42 @@
 		a.subscribed, a.listPause = true, 0
 	}
 	a.dirty = true
-	listed := map[string]bool{}
+	a.lists++
 	for _, e := range ev.Replicas {
-		listed[e.ID] = true
 		r := a.byID[e.ID]
 		if r == nil {
-			r = newReplica(e, len(a.classes))
-			a.byID[e.ID] = r
-			a.relate(r)
-			a.replicas = append(a.replicas, r)
+			r = a.newcomer(e)
 			a.join(r)
 			a.chill(r, e.Since)
-			continue
-		}
-		if e.Since > r.Since { // the same machine, a new process: cold, and whatever ailed it is over
+		} else if e.Since > r.Since { // the same machine, a new process: cold, and whatever ailed it is over
 			a.chill(r, e.Since)
-			r.suspect, r.failing, r.restarted, r.errors = false, false, false, 0
+			a.setSuspect(r, false)
+			r.failing, r.restarted, r.errors = false, false, 0
 			a.join(r)
 		}
-		r.Replica = e
+		a.relist(r, e)
+		r.list = a.lists
+	}
+	if ev.Scope == ListChanges {
+		return
 	}
 	for _, r := range a.replicas {
-		if ev.Scope != ListChanges && !listed[r.ID] {
-			r.State = Gone
-		}
-		if r.State == Gone && r.goneAt == 0 {
-			r.goneAt = a.now
-		} else if r.State != Gone {
-			r.goneAt = 0
+		if e := r.Replica; r.list != a.lists {
+			e.State = Gone
+			a.relist(r, e)
 		}
 	}
 }
 
 // forget drops replicas that are long over, for a long life brings ever new ones.
 func (a *Aggregator) forget() {
-	over := func(r *replica) bool {
-		return r.State == Gone && len(r.out) == 0 && a.now-max(r.goneAt, r.usedAt) > keepGone
-	}
-	for _, r := range a.replicas {
-		if r.siblings = slices.DeleteFunc(r.siblings, over); over(r) {
-			delete(a.byID, r.ID)
+	a.gone = slices.DeleteFunc(a.gone, func(r *replica) bool {
+		over := r.State == Gone && len(r.out) == 0 && a.now-max(r.goneAt, r.usedAt) > keepGone
+		if r.mayForget = r.State == Gone && !over; over {
+			a.drop(r)
 		}
-	}
-	a.replicas = slices.DeleteFunc(a.replicas, over)
+		return !r.mayForget
+	})
 }
 
 // keepList subscribes where the list must be asked for, again after each refusal.
--- /dev/null
+++ b/change_test.go
@@ -0,0 +1,271 @@
+package harepass
+
+import (
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// changeSizes are the numbers of nodes at which the cost of a changed entry is measured.
+var changeSizes = []int{70, 700, 2100, 7000}
+
+// fleetMember is one of 1,500 coordinators with a list of so many nodes. Where it is in use, every shard has had a part
+// and every part its outcome.
+func fleetMember(t testing.TB, nodes int, inUse bool) *steady {
+	s := newSteady(t, 5, nodes, false)
+	set := s.a.set
+	set.Roots, set.Me = 1500, 700
+	set.Cold = Cold{Start: 0.2, WarmWithin: 18 * sec, Multiple: 2.5, Window: 1500 * ms}
+	if err := s.a.Configure(set); err != nil {
+		t.Fatal(err)
+	}
+	queries := 1
+	if inUse {
+		queries = nodes
+	}
+	for range queries {
+		s.query(nodes, false)
+	}
+	for len(s.out) > 0 {
+		d := heap.Pop(&s.out).(due)
+		s.now = max(s.now, d.at)
+		s.step(false, d.ev)
+	}
+	return s
+}
+
+// change tells the module that one node drains, and in the next call that it is back as a new process.
+func (s *steady) change(no, nodes int) {
+	node := no / 2 * 7 % nodes
+	entry := Replica{ID: fmt.Sprint("r", node), Cell: node}
+	if no%2 == 0 {
+		entry.State = Draining
+	} else {
+		entry.Since = s.now
+	}
+	s.now += 100 * time.Microsecond
+	s.a.Step(s.now, []Event{ListReceived{Scope: ListChanges, Replicas: []Replica{entry}}})
+}
+
+// processTime is the processor time that this process has used.
+func processTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func BenchmarkChange(b *testing.B) {
+	for _, inUse := range []bool{false, true} {
+		for _, nodes := range changeSizes {
+			b.Run(fmt.Sprintf("inuse=%t/nodes=%d", inUse, nodes), func(b *testing.B) {
+				s := fleetMember(b, nodes, inUse)
+				no := 0
+				began := processTime(b)
+				for b.Loop() {
+					s.change(no, nodes)
+					no++
+				}
+				b.ReportMetric(float64(processTime(b)-began)/float64(b.N), "cpu-ns/op")
+			})
+		}
+	}
+}
+
+// churn draws list changes: nodes that drain, restart, go, come, move to another cell, and whole lists that leave some out.
+type churn struct {
+	rng  *rand.Rand
+	list []Replica
+}
+
+func newChurn(nodes, layers int) *churn {
+	c := &churn{rng: rand.New(rand.NewPCG(3, 9))}
+	for i := range nodes * layers {
+		c.list = append(c.list, Replica{ID: fmt.Sprint("r", i), Cell: i % nodes})
+	}
+	return c
+}
+
+// next is the next list to be told at a time.
+func (c *churn) next(now time.Duration, cells int) ListReceived {
+	var changed []Replica
+	for range 1 + c.rng.IntN(4) {
+		e := &c.list[c.rng.IntN(len(c.list))]
+		switch c.rng.IntN(10) {
+		case 0, 1, 2:
+			e.State = Draining
+		case 3:
+			e.State = Gone
+		case 4:
+			e.Cell = c.rng.IntN(cells + 3)
+		case 5:
+			c.list = append(c.list, Replica{ID: fmt.Sprint("n", len(c.list)), Cell: c.rng.IntN(cells), Since: now})
+			e = &c.list[len(c.list)-1]
+		case 6, 7, 8:
+			e.State, e.Since = Ready, now-time.Duration(c.rng.IntN(30))*sec
+		default:
+			e.State = Ready
+		}
+		changed = append(changed, *e)
+	}
+	switch c.rng.IntN(12) {
+	case 0, 1:
+		from := c.rng.IntN(3)
+		return ListReceived{Scope: ListFull, Replicas: c.list[from:]}
+	case 2:
+		return ListReceived{Scope: ListRemembered, Replicas: c.list}
+	case 3:
+		return ListReceived{Scope: ListRefused}
+	}
+	return ListReceived{Scope: ListChanges, Replicas: changed}
+}
+
+// The actions on recorded streams with list changes, new settings and memories handed over are those of the module from
+// before a changed entry cost no more than itself.
+func TestActionsUnchangedByListCost(t *testing.T) {
+	t.Parallel()
+	if runtime.GOARCH != "amd64" {
+		t.Skip("recorded on amd64")
+	}
+	for _, tc := range []struct {
+		open, nodes, layers, roots, me int
+		trouble                        bool
+		digest                         uint64
+	}{
+		{5, 12, 1, 1, 0, true, 0x8431491107aa1f44},
+		{20, 30, 2, 300, 17, true, 0xe7cd12c3b74992ec},
+		{30, 60, 1, 900, 421, true, 0xba3e69874ad6d014},
+		{20, 3, 3, 1, 0, true, 0x699d444d8c1f7c98},
+		{10, 200, 1, 300, 5, false, 0xf0fe29c3274548dd},
+	} {
+		s := newSteady(t, tc.open, tc.nodes, tc.trouble)
+		set := s.a.set
+		set.Roots, set.Me, set.Subscribe, set.ListMaxAge = tc.roots, tc.me, true, 60*sec
+		set.Cold = Cold{Start: 0.2, WarmWithin: 18 * sec, Multiple: 2.5, Window: 1500 * ms}
+		configure := func() {
+			if err := s.a.Configure(set); err != nil {
+				t.Fatal(err)
+			}
+		}
+		configure()
+		c := newChurn(tc.nodes, tc.layers)
+		s.step(tc.trouble, ListReceived{Scope: ListFull, Replicas: c.list})
+		for i := range 2000 {
+			s.query(tc.nodes, tc.trouble)
+			if i%9 == 0 {
+				s.step(tc.trouble, c.next(s.now, tc.nodes))
+			}
+			switch i % 1000 {
+			case 400:
+				set.Roots += 40
+				configure()
+			case 600:
+				set.Classes = append(set.Classes[:1:1], Class{Name: "new", Aim: sec, Deadline: 2 * sec, Need: 1, Floor: 1}, set.Classes[1])
+				configure()
+			case 700:
+				set.Classes = append(set.Classes[:1:1], set.Classes[2])
+				configure()
+			case 800:
+				s.a.Remember(s.a.Recall())
+			}
+		}
+		h := fnv.New64a()
+		fmt.Fprintf(h, "%v", s.a.Recall())
+		if s.digest ^= h.Sum64(); s.digest != tc.digest {
+			t.Errorf("%+v: digest %#x of %d actions", tc, s.digest, s.actions)
+		}
+	}
+}
+
+// New settings and a memory that is handed over right after them, with no step between, go together.
+func TestMemoryAfterNewSettings(t *testing.T) {
+	t.Parallel()
+	const nodes = 12
+	s := fleetMember(t, nodes, true)
+	s.step(false, ListReceived{Scope: ListChanges, Replicas: []Replica{{ID: "r3", Cell: 3, State: Draining}}})
+	set := s.a.set
+	set.Classes = append(set.Classes[:2:2], Class{Name: "new", Aim: sec, Deadline: 2 * sec, Need: 1, Floor: 1})
+	if err := s.a.Configure(set); err != nil {
+		t.Fatal(err)
+	}
+	before := s.a.Recall()
+	s.a.Remember(before)
+	if after := s.a.Recall(); fmt.Sprint(after.Replicas, after.Shards) != fmt.Sprint(before.Replicas, before.Shards) {
+		t.Errorf("the memory changed from %v to %v", before, after)
+	}
+	s.query(nodes, false)
+}
+
+// A changed entry has as many replicas and shards looked at in a list of 700 as in one of 70, however many shards are in use.
+func TestChangeCostsWhatItConcerns(t *testing.T) {
+	t.Parallel()
+	for _, inUse := range []bool{false, true} {
+		var least work
+		for _, nodes := range []int{70, 700} {
+			s := fleetMember(t, nodes, inUse)
+			s.a.Step(s.now, []Event{ListReceived{Scope: ListChanges}}) // all that was due before
+			s.a.work = work{}
+			for i := range 20 {
+				s.change(i, nodes)
+			}
+			if nodes == 70 {
+				least = s.a.work
+			} else if s.a.work != least {
+				t.Errorf("in use %t: %+v looked at among %d nodes, %+v among 70", inUse, s.a.work, nodes, least)
+			}
+		}
+		if least.replicas == 0 || least.replicas > 20*20 {
+			t.Errorf("in use %t: %+v looked at for 20 changes", inUse, least)
+		}
+	}
+}
+
+// BenchmarkWideQuery is a query to 120 shards of a fleet of 1,500 coordinators, 180 a second; each part is served after 20 ms,
+// and each outcome is a step of its own.
+func BenchmarkWideQuery(b *testing.B) {
+	const parts = 120
+	for _, nodes := range []int{600, 1800, 7000} {
+		b.Run(fmt.Sprint("nodes=", nodes), func(b *testing.B) {
+			s := fleetMember(b, nodes, true)
+			ask := func() {
+				next := s.now + time.Second/180
+				for len(s.out) > 0 && s.out[0].at <= next {
+					d := heap.Pop(&s.out).(due)
+					s.now = max(s.now, d.at)
+					s.served(d.ev)
+				}
+				s.now = next
+				s.n++
+				id := fmt.Sprint("w", s.n)
+				events := []Event{QueryArrived{ID: id, Number: s.n, Class: "c", ValidUntil: s.now + 5*sec, Parts: parts}}
+				for i := range parts {
+					events = append(events, PartArrived{ID: fmt.Sprint(id, ".", i), Number: s.n, Shard: (int(s.n)*7 + i) % nodes, Weight: 1.0 / parts})
+				}
+				s.served(events...)
+			}
+			for range 2 * nodes / parts {
+				ask()
+			}
+			began := processTime(b)
+			for b.Loop() {
+				ask()
+			}
+			b.ReportMetric(float64(processTime(b)-began)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
+
+// served steps, and serves what is sent after 20 ms. It keeps no digest.
+func (s *steady) served(events ...Event) {
+	for _, act := range s.a.Step(s.now, events) {
+		if x, ok := act.(Send); ok {
+			heap.Push(&s.out, due{s.now + 20*ms, AttemptEnded{Part: x.Part, Replica: x.Replica, Took: 20 * ms}})
+		}
+	}
+}
--- a/memory.go
+++ b/memory.go
@@ -78,6 +78,7 @@
 			OKAt: slices.Clone(r.okAt), LostAt: slices.Clone(r.lostAt)})
 	}
 	for _, s := range a.touched {
+		s.decay(a.decays)
 		m.Shards = append(m.Shards, ShardMemory{No: s.no, Rates: slices.Clone(s.rates)})
 	}
 	return m
@@ -116,7 +117,8 @@
 		if r == nil || r.Since > k.Since || !sound(k.Ratio) || !lengths(len(m.Classes), len(k.Faults), len(k.Barred), len(k.OKAt), len(k.LostAt)) {
 			continue
 		}
-		r.ratio, r.suspect, r.failing, r.restarted = k.Ratio, k.Suspect, k.Failing, k.Restarted
+		a.setSuspect(r, k.Suspect)
+		r.ratio, r.failing, r.restarted = k.Ratio, k.Failing, k.Restarted
 		r.good, r.errors, r.fulls, r.pause = k.Good, k.Errors, k.Fulls, k.Pause
 		r.suspectAt, r.trialAt, r.lastOK, r.fullUntil, r.shunUntil = k.SuspectAt, k.TrialAt, k.LastOK, k.FullUntil, k.ShunUntil
 		r.failedAt, r.resetAt, r.errorAt = k.FailedAt, k.ResetAt, k.ErrorAt
--- a/settings.go
+++ b/settings.go
@@ -65,28 +65,6 @@
 	return next
 }
 
-// relate makes a replica and those listed before it siblings where they hold a shard in common.
-func (a *Aggregator) relate(r *replica) {
-	for _, o := range a.replicas {
-		if o == r {
-			return
-		}
-		if d := mod(r.Cell-o.Cell, a.set.Cells); min(d, a.set.Cells-d) < a.set.Reach {
-			r.siblings, o.siblings = append(r.siblings, o), append(o.siblings, r)
-		}
-	}
-}
-
-// relateAll does so for all, from nothing.
-func (a *Aggregator) relateAll() {
-	for _, r := range a.replicas {
-		r.siblings = nil
-	}
-	for _, r := range a.replicas {
-		a.relate(r)
-	}
-}
-
 // with is a tenant at another rate, with what it had saved; one that is new has all of its room.
 func (t *tenant) with(rate, room float64) *tenant {
 	if t == nil {
--- a/state.go
+++ b/state.go
@@ -1,7 +1,6 @@
 package harepass
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -24,8 +23,16 @@
 	tenants  map[string]*tenant
 	replicas []*replica // in order of first listing
 	byID     map[string]*replica
+	ring     ring
+	lastNo   int        // of a replica
+	lists    int        // so many were received
+	running  int        // replicas listed as such
+	ready    int        // and of those, the ones that show no symptom
+	engaged  []*replica // with attempts out, in order of first listing
+	gone     []*replica // that may be forgotten in time
 	shards   map[int]*shard
 	touched  []*shard // in order of first use
+	stale    int      // so many of them have shares from before the latest refill
 	open     []*query // in order of arrival
 	queries  map[string]*query
 	byNumber map[int64]*query
@@ -39,7 +46,14 @@
 	still      bool              // no replica's standing or ratio changes any more in this step
 	idleLimit  time.Duration     // connections unused for so long were lost
 	partial    bool              // some class may be answered in part
-	dirty      bool              // the list or a replica's health changed since the last refill
+	settled    settled           // what the keys go by
+	basis      basis             // of the latest refill
+	refillNo   int               // how many there were, for whatever reason
+	watchAt    time.Duration     // until then no attempt that is out makes a silent replica
+	watchNo    int               // the refill that this is of
+	decays     int               // and how many in their time, at which rates decay
+	work       work
+	dirty      bool // the list or a replica's health changed since the last refill
 	nextRefill time.Duration
 	wakeAt     time.Duration
 	subscribed bool
@@ -55,6 +69,11 @@
 	trials     float64 // trial parts that may be sent now
 	extras     []time.Duration
 	taken      []time.Duration
+
+	equal, room, keys []float64 // space for a shard's refill, by holder
+	readies           []bool
+	tied              []int
+	order             []*class
 }
 
 type class struct {
@@ -81,6 +100,9 @@
 
 type replica struct {
 	Replica
+	no       int     // in order of first listing
+	list     int     // that named it last
+	engaged  bool    // has attempts out
 	key      float64 // in this root's subset
 	ratio    float64 // its latency in those usual for each class
 	common   memo    // what is usual of its siblings
@@ -111,6 +133,7 @@
 	lostIdle  time.Duration // how long its connection had been unused before it became a suspect
 	restarted bool          // connections failed: what returns may be a new, cold process
 
+	mayForget  bool          // it is among those that may be forgotten in time
 	goneAt     time.Duration // since when it is listed as gone; 0 if it is not
 	coldFrom   time.Duration // its last start, listed or inferred; 0 for long ago
 	coldTokens float64
@@ -127,6 +150,8 @@
 
 type shard struct {
 	no      int
+	refill  int         // that its shares are of
+	decays  int         // that its rates have been through
 	holders []*replica  // in the order of their keys
 	kept    int         // so many of them are sent to while that will do
 	common  memo        // what is usual of these
@@ -149,6 +174,8 @@
 	admitted bool
 	late     bool
 	closed   bool
+	restNo   int           // the refill since which nothing has happened to it; below 0 for none
+	rest     time.Duration // and until when driving it then changes nothing
 }
 
 type part struct {
@@ -234,6 +261,28 @@
 	}
 }
 
+// resting tells whether driving a query would change nothing.
+func (a *Aggregator) resting(q *query) bool { return q.restNo == a.refillNo && a.now < q.rest }
+
+// rest finds until when it would not, if nothing happens to the query and no refill comes: all parts that it waits for are
+// out, and none is overdue.
+func (a *Aggregator) rest(q *query) {
+	q.restNo, q.rest = a.refillNo, min(q.end, a.cutoff(q), q.aim-a.set.Turn)
+	for _, p := range q.parts {
+		if !p.wanted || p.served || p.Held {
+			continue
+		}
+		if p.out == 0 {
+			q.stir()
+			return
+		}
+		q.rest = min(q.rest, p.latest().sent+q.cls.overdue)
+	}
+}
+
+// stir tells that something has happened to a query.
+func (q *query) stir() { q.restNo = -1 }
+
 func (p *part) outstanding() int { return p.out }
 
 // latest is the part's last attempt, nil if there was none.
@@ -284,67 +333,83 @@
 	return r.seat.Turn(a.now, pause, subsetting.Salt(r.ID))
 }
 
-// settle finds this root's place: its subset of what is listed as running, and the key of each replica there.
-func (a *Aggregator) settle() {
-	cells, running := map[int][]*replica{}, 0
-	for _, r := range a.replicas {
-		if r.State == Ready {
-			cells[r.Cell] = append(cells[r.Cell], r)
-			running++
-		}
-	}
-	a.subset = subsetting.NewSubset(subsetting.Place{Me: a.set.Me - 1, Of: a.set.Roots}, subsetting.Ring{Cells: a.set.Cells, Reach: a.set.Reach, Nodes: running}, leastKept)
-	a.fleet = max(1, a.subset.Share*float64(a.set.Roots)/fewRoots)
-	for cell, some := range cells {
-		slices.SortFunc(some, func(x, y *replica) int { return cmp.Or(cmp.Compare(x.Since, y.Since), cmp.Compare(x.ID, y.ID)) })
-		for rank, r := range some {
-			r.key = a.subset.Key(cell, rank)
-			if seat := a.subset.Seat(a.place(), r.key); !r.seated || seat != r.seat {
-				r.seat, r.seated, r.lot = seat, true, seat.Lot(subsetting.Salt(r.ID))
-			}
-		}
-	}
-}
-
-// hold lists a shard's holders in the order of their keys, and how many of them this root sends to.
-func (a *Aggregator) hold(s *shard) {
-	s.holders = s.holders[:0]
-	for _, r := range a.replicas {
-		if r.State == Ready && mod(r.Cell-s.no, a.set.Cells) < a.set.Reach {
-			s.holders = append(s.holders, r)
-		}
-	}
-	slices.SortStableFunc(s.holders, func(x, y *replica) int { return cmp.Compare(x.key, y.key) })
-	keys, ready := make([]float64, len(s.holders)), make([]bool, len(s.holders))
-	for i, r := range s.holders {
-		keys[i], ready[i] = r.key, r.ready()
-	}
-	s.kept = a.subset.Among(keys, ready, leastKept)
-}
-
 // keeps tells whether a replica takes part in the refill and this root sends to it.
 func (a *Aggregator) keeps(r *replica) bool { return r.ready() && a.subset.Keeps(r.key) }
 
-// mean is the expected latency of a class at this shard under its shares.
-func (s *shard) mean(c *class) (sum float64) {
+// mean is the expected latency at this shard under its shares of a class with that base.
+func (s *shard) mean(c *class, base float64) (sum float64) {
 	for i, r := range s.holders {
-		sum += s.shares[c.idx][i] * r.ratio * c.base
+		sum += s.shares[c.idx][i] * r.ratio * base
 	}
 	return sum
 }
 
+// shardOf is a shard as it is now: its rates, and while queries are driven its shares. Between steps new settings may have
+// made the basis one of other classes.
 func (a *Aggregator) shardOf(no int) *shard {
 	s := a.shards[no]
 	if s == nil {
-		s = &shard{no: no, counts: make([]float64, len(a.classes)), rates: make([]float64, len(a.classes)),
-			shares: make([][]float64, len(a.classes))}
+		s = &shard{no: no, refill: a.refillNo, decays: a.decays, counts: make([]float64, len(a.classes)),
+			rates: make([]float64, len(a.classes)), shares: make([][]float64, len(a.classes))}
 		a.shards[no] = s
 		a.touched = append(a.touched, s)
+		a.ring.addShard(s)
 		a.refillShard(s)
 	}
+	s.decay(a.decays)
+	if a.still && !a.dirty {
+		a.freshen(s)
+	}
 	return s
 }
 
+// freshen gives a shard the shares of the latest refill. They are those that it would have had then: whatever they go by
+// either stays as it was until the next refill, or is in the basis, or is kept by before.
+func (a *Aggregator) freshen(s *shard) {
+	if s.refill != a.refillNo {
+		s.refill = a.refillNo
+		a.stale--
+		s.decay(a.decays)
+		a.refillBy(s, a.basis)
+	}
+}
+
+// before gives a replica's shards their shares before anything of it changes that these go by. Where a refill is to come
+// in this step, it will do.
+func (a *Aggregator) before(r *replica) {
+	if a.stale > 0 && !a.dirty {
+		a.ring.shardsOf(r.Cell, a.freshen)
+	}
+}
+
+// present is the basis of a refill now.
+func (a *Aggregator) present() basis {
+	b := basis{at: a.now}
+	for _, c := range a.classes {
+		b.bases = append(b.bases, c.base)
+	}
+	return b
+}
+
+// renew makes the shares of all shards those of now. Each gets them when it is looked at, or when that would change.
+func (a *Aggregator) renew() {
+	a.refillNo++
+	a.stale, a.basis = len(a.touched), a.present()
+}
+
+// decay takes a shard's rates through the refills up to one.
+func (s *shard) decay(to int) {
+	for changed := true; changed && s.decays < to; s.decays++ {
+		changed = false
+		for k, rate := range s.rates {
+			s.rates[k] = rateKeep*rate + s.counts[k]
+			changed = changed || s.rates[k] != rate
+			s.counts[k] = 0
+		}
+	}
+	s.decays = to
+}
+
 func (a *Aggregator) do(act Action) { a.out = append(a.out, act) }
 
 // openCall is the call of this step to a replica that one more part can still join, if any.
@@ -366,6 +431,7 @@
 	at.call.parts++
 	at.call.size++
 	r.out = append(r.out, at)
+	a.engage(at)
 	if !p.mayRun {
 		p.mayRun, p.firstRun = true, at.sent
 	}
@@ -378,6 +444,7 @@
 	at.ended, at.never = true, never
 	r, p := at.r, at.part
 	p.out--
+	p.q.stir()
 	r.out = slices.DeleteFunc(r.out, func(o *attempt) bool { return o == at })
 	if at.call.parts--; at.call.parts == 0 {
 		r.calls--
