Owner: a changed entry walks no list, and a long list is taken in slices

For each change of the list the owner copied all names, searched every open part, forgot which shards know first phases, and with one node out by hand compared every shard with every node. Nodes are found by cell now (cells.go), the names are read from the one map under a lock, and attempts are searched only where a node leaves. A whole list of more than 256 entries of the source that the module asked is taken as changes, 256 entries to a turn; it counts as known, and takes away what it does not name, with the last. Shorter ones are taken as before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"errors"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -84,8 +85,11 @@
 	ids       map[string]struct{} // that clients gave to queries whose time is not over
 	parts     map[string]*part
 	firsts    map[string]*first // by the module's id
-	ables     map[int]bool      // by section; made anew when the list changes
+	ables     map[int]bool      // by position of the section; dropped where a node of it changes
 	nodes     map[string]listedNode
+	nodesMu   sync.RWMutex // the owner takes it to write to nodes, others to read
+	cells     cellIndex    // of nodes
+	lists     []listed     // to be taken in the next turns
 	events    []harepass.Event
 	deadlines deadlines
 	wake      *deadline
@@ -105,8 +109,7 @@
 	heeded *maintenance.Book                // that the module has heard of
 	book   maintenance.Book                 // the same
 	bare   []int                            // sections that were logged last as lost by it
-	known  atomic.Pointer[map[string]struct{}]
-	shared atomic.Bool // with another process
+	shared atomic.Bool                      // with another process
 }
 
 // New returns an Owner in the phase Starting.
@@ -122,6 +125,7 @@
 	o := &Owner{cfg: cfg, agg: agg, queue: make(chan posted, queueSize), news: make(chan struct{}, 1), done: make(chan struct{}),
 		ready: make(chan struct{}), queries: map[string]*query{}, byQuery: map[*Query]*query{},
 		ids: map[string]struct{}{}, parts: map[string]*part{}, firsts: map[string]*first{}, ables: map[int]bool{}, nodes: map[string]listedNode{}, deadlines: newDeadlines()}
+	o.cells = newCellIndex(cfg.Settings.Cells, cfg.Settings.Reach, nil)
 	o.facts.Store(&facts{cfg.Settings, cfg.Limits})
 	if cfg.Recalled != nil {
 		o.deadlines.add(cfg.Clock()+recallEvery, o.recall)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -35,7 +35,7 @@
 	asked   int
 }
 
-func newRig(t *testing.T, change func(*Config)) *rig {
+func newRig(t testing.TB, change func(*Config)) *rig {
 	t.Helper()
 	r := &rig{hand: &hand{}, clock: time.Hour}
 	cfg := Config{Seed: 1, Asked: "test", Clock: func() time.Duration { return r.clock }, Callers: map[string]Caller{"hand": r.hand},
--- a/internal/core/first.go
+++ b/internal/core/first.go
@@ -74,11 +74,11 @@
 
 // able tells whether all holders of a section that may be sent to speak to callers that know of first phases.
 func (o *Owner) able(shard int) bool {
+	shard = o.cells.position(shard)
 	able, known := o.ables[shard]
 	if !known {
-		cells := o.set().Cells
-		for _, n := range o.nodes {
-			if o.book.Told(n.Replica).State == harepass.Ready && ((n.Cell-shard)%cells+cells)%cells < o.set().Reach {
+		for _, id := range o.cells.holders(shard) {
+			if n := o.nodes[id]; o.book.Told(n.Replica).State == harepass.Ready {
 				if able = o.cfg.Schemes[n.Scheme]; !able {
 					break
 				}
--- a/internal/core/maintenance.go
+++ b/internal/core/maintenance.go
@@ -19,16 +19,6 @@
 	}
 }
 
-// Knows tells whether some source lists a node; for any goroutine.
-func (o *Owner) Knows(id string) bool {
-	known := o.known.Load()
-	if known == nil {
-		return false
-	}
-	_, ok := (*known)[id]
-	return ok
-}
-
 // Serving tells why the owner does not take queries; for any goroutine.
 func (o *Owner) Serving() error {
 	if p := o.Phase(); p != Ready {
@@ -52,9 +42,15 @@
 
 // warnBare logs which sections have lost all holders by hand, when that changes. They stay lost: the rule holds.
 func (o *Owner) warnBare() {
+	var cells []int
+	for id, e := range o.book {
+		if n, listed := o.nodes[id]; listed && e.Out {
+			cells = append(cells, n.Cell)
+		}
+	}
 	var list []harepass.Replica
-	for _, n := range o.nodes {
-		list = append(list, n.Replica)
+	for _, id := range o.cells.near(cells) {
+		list = append(list, o.nodes[id].Replica)
 	}
 	bare := o.book.Bare(list, o.set().Cells, o.set().Reach, o.set().limits.Shards)
 	if !slices.Equal(bare, o.bare) {
--- a/internal/core/memory.go
+++ b/internal/core/memory.go
@@ -16,6 +16,7 @@
 type remembered struct{ memory harepass.Memory }
 
 func (m remembered) apply(o *Owner) {
+	o.takeLists()
 	o.step() // so that the module knows the list
 	o.agg.Remember(m.memory)
 }
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -25,37 +25,42 @@
 	source string
 	scope  harepass.ListScope
 	nodes  []Node
+	more   bool                // further slices of the same list follow
+	names  map[string]struct{} // in the last slice: all that the source lists; nil for a list of one piece
 }
 
 // Listed brings a source's list of nodes, its changes, or the news that it could not be had. A full list
 // takes away only what the same source had named.
 func (o *Owner) Listed(source string, scope harepass.ListScope, nodes []Node) {
-	o.post(listed{source, scope, nodes})
+	o.post(listed{source: source, scope: scope, nodes: nodes})
 }
 
-// apply merges the sources. The module takes a list, its changes or a refusal for an answer to its own
+// merge merges the sources. The module takes a list, its changes or a refusal for an answer to its own
 // Subscribe, so a source that it did not ask comes in as remembered: with that it would never subscribe.
-func (m listed) apply(o *Owner) {
+func (o *Owner) merge(m listed) {
 	ev := harepass.ListReceived{Scope: m.scope}
 	if m.source != o.cfg.Asked {
 		ev.Scope = harepass.ListRemembered
 	}
 	before := map[string]listedNode{} // those that the list may take away
-	if m.scope == harepass.ListFull || m.scope == harepass.ListRemembered {
+	whole := m.scope == harepass.ListFull || m.scope == harepass.ListRemembered
+	if whole {
 		for id, n := range o.nodes {
 			if n.source == m.source {
 				before[id] = n
-				delete(o.nodes, id)
+				o.removeNode(id)
 			}
 		}
 	}
-	for _, n := range m.nodes {
+	leaving := whole
+	for _, n := range slices.Concat(m.nodes, o.unnamed(m)) {
 		if before[n.ID] = o.nodes[n.ID]; n.State == harepass.Gone { // the module is told, the owner forgets it
-			delete(o.nodes, n.ID)
+			o.removeNode(n.ID)
 		} else {
-			o.nodes[n.ID] = listedNode{n, m.source}
+			o.putNode(listedNode{n, m.source})
 		}
 		o.traceListed(n)
+		leaving = leaving || !o.sendable(n.ID)
 		ev.Replicas = append(ev.Replicas, o.book.Told(n.Replica))
 	}
 	for id, n := range before { // what is out there still has its connection, which ends when it has been idle
@@ -67,9 +72,15 @@
 		ev.Replicas = o.replicas()
 	}
 	o.events = append(o.events, ev)
-	o.withholdLeaving()
-	o.noteList()
-	clear(o.ables)
+	if leaving {
+		o.withholdLeaving()
+	}
+	if len(o.book) > 0 {
+		o.warnBare()
+	}
+	if m.more {
+		return
+	}
 	o.list = o.list || m.scope != harepass.ListRemembered && m.source == o.cfg.Asked
 	o.presume()
 }
@@ -91,14 +102,33 @@
 	return list
 }
 
-// noteList makes the list known to other goroutines.
-func (o *Owner) noteList() {
-	known := make(map[string]struct{}, len(o.nodes))
-	for id := range o.nodes {
-		known[id] = struct{}{}
-	}
-	o.known.Store(&known)
-	if len(o.book) > 0 {
-		o.warnBare()
+// putNode enters a node, in the place of what was listed under its name.
+func (o *Owner) putNode(n listedNode) {
+	o.removeNode(n.ID)
+	o.nodesMu.Lock()
+	o.nodes[n.ID] = n
+	o.nodesMu.Unlock()
+	o.cells.add(n)
+	o.cells.forShards(n.Cell, func(shard int) { delete(o.ables, shard) })
+}
+
+// removeNode takes a node off the list, if it is there.
+func (o *Owner) removeNode(id string) {
+	n, listed := o.nodes[id]
+	if !listed {
+		return
 	}
+	o.nodesMu.Lock()
+	delete(o.nodes, id)
+	o.nodesMu.Unlock()
+	o.cells.remove(n)
+	o.cells.forShards(n.Cell, func(shard int) { delete(o.ables, shard) })
+}
+
+// Knows tells whether some source lists a node; for any goroutine.
+func (o *Owner) Knows(id string) bool {
+	o.nodesMu.RLock()
+	defer o.nodesMu.RUnlock()
+	_, known := o.nodes[id]
+	return known
 }
--- a/internal/core/settings.go
+++ b/internal/core/settings.go
@@ -66,6 +66,9 @@
 	if err == nil {
 		o.facts.Store(m.facts)
 		clear(o.ables)
+		if m.facts.Cells != o.cells.size || m.facts.Reach != o.cells.reach {
+			o.cells = newCellIndex(m.facts.Cells, m.facts.Reach, o.nodes)
+		}
 	}
 	m.done <- err
 }
--- a/internal/decide/maintenance/maintenance.go
+++ b/internal/decide/maintenance/maintenance.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -89,21 +90,31 @@
 }
 
 // Bare lists the shards, in order, whose holders are all out by hand: no query that needs them can be served. Others that
-// lack a ready holder lack it by the list.
+// lack a ready holder lack it by the list. The list has to name all holders of shards that one of a node out holds.
 func (b Book) Bare(list []harepass.Replica, cells, reach, shards int) (bare []int) {
-	for s := range shards {
-		open, out := 0, 0
-		for _, r := range list {
-			if d := ((r.Cell-s)%cells + cells) % cells; d >= reach || r.State != harepass.Ready {
-				continue
-			}
-			if b[r.ID].Out {
-				out++
-			} else {
-				open++
+	position := func(no int) int { return (no%cells + cells) % cells }
+	open := map[int]bool{} // cells with a node that is not out
+	touched := map[int]bool{}
+	for _, r := range list {
+		if r.State != harepass.Ready {
+			continue
+		}
+		if !b[r.ID].Out {
+			open[position(r.Cell)] = true
+			continue
+		}
+		for j := range reach {
+			for s := position(r.Cell - j); s < shards; s += cells {
+				touched[s] = true
 			}
 		}
-		if out > 0 && open == 0 {
+	}
+	for _, s := range slices.Sorted(maps.Keys(touched)) {
+		held := false
+		for j := range reach {
+			held = held || open[position(s+j)]
+		}
+		if !held {
 			bare = append(bare, s)
 		}
 	}
