Capacity experiment: queries over all sections in turn

The renewal of shares and changed entries are paid for where shares are computed; a tree that computes them when a query wants them would move that cost out of the series on changes.

--- a/internal/capacity/module.go
+++ b/internal/capacity/module.go
@@ -165,6 +165,24 @@
 // queryByNodes is a query of QueryParts parts over the same sections, at the pace of one coordinator.
 func queryByNodes(nodes int) (*subject, error) { return queries(nodes, pace()) }
 
+// queryTouched is one at the same pace whose sections come in turn from all there are, every one of them asked before: the renewal of
+// shares is in it, whenever the module does that. One operation is so many queries.
+func queryTouched(count int) func(nodes int) (*subject, error) {
+	return func(nodes int) (*subject, error) {
+		m, err := newModule(nodes, nodes)
+		if err != nil {
+			return nil, err
+		}
+		m.touch()
+		return &subject{unit: time.Microsecond, parts: count, operate: func() error {
+			for range count {
+				m.query(min(QueryParts, nodes), pace())
+			}
+			return nil
+		}, check: func(int) error { return m.settled() }}, nil
+	}
+}
+
 // queryByOpen is one before leastNodes nodes while about so many are open.
 func queryByOpen(open int) (*subject, error) { return queries(openNodes, served/time.Duration(open)) }
 
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -10,6 +10,8 @@
 type Plan struct {
 	Nodes       []int
 	Wide        []int // nodes, for what grows with their square
+	Asked       []int // nodes, whose sections are all asked
+	Queries     int   // of one operation there: those of a second, for shares are renewed once in it
 	Open        []int
 	Parts       []int
 	Entries     []int // changed in one answer
@@ -22,14 +24,14 @@
 
 // Full is the plan of the page: some minutes.
 func Full(start Nodes) Plan {
-	return Plan{Nodes: []int{70, 220, 700, 2200, DataNodes}, Wide: []int{70, 220, 700, 2200, DataNodes}, Open: []int{1, 4, 12, 36}, Parts: []int{4, 12, 40, QueryParts},
+	return Plan{Nodes: []int{70, 220, 700, 2200, DataNodes}, Wide: []int{70, 220, 700, 2200, DataNodes}, Asked: []int{QueryParts, 350, 1000, 2600, DataNodes}, Queries: QueriesAll / Coordinators, Open: []int{1, 4, 12, 36}, Parts: []int{4, 12, 40, QueryParts},
 		Entries: []int{4, 12, 37, 115, zoneEntries}, Rates: []int{1, 3, 10, 32}, Connections: []int{46, 146, 466, 1466, keptNodes},
 		Fleet: []int{15, 47, 150, 475, Coordinators}, Effort: Effort{Repeats: 5, CPU: 25 * time.Millisecond, Most: 2000}, Start: start}
 }
 
 // Small is the same shape at small size, for tests: one operation for each point.
 func Small() Plan {
-	return Plan{Nodes: []int{6, 12, 24, 60}, Wide: []int{6, 12, 24, 60}, Open: []int{1, 2, 4, 10}, Parts: []int{1, 2, 4, 10}, Entries: []int{1, 2, 4, 10},
+	return Plan{Nodes: []int{6, 12, 24, 60}, Wide: []int{6, 12, 24, 60}, Asked: []int{6, 12, 24, 60}, Queries: 2, Open: []int{1, 2, 4, 10}, Parts: []int{1, 2, 4, 10}, Entries: []int{1, 2, 4, 10},
 		Rates: []int{1, 2, 4, 10}, Connections: []int{1, 2, 4, 10}, Fleet: []int{3, 10, 20, 30}, Effort: Effort{Repeats: 1, Most: 1}, Start: HereNodes}
 }
 
@@ -58,7 +60,8 @@
 		{Series{Name: "list-bytes", Title: "the whole list on the wire", Variable: "nodes", Unit: "MB", Form: Power, Residual: 0.1}, p.Nodes, listBytes},
 		{Series{Name: "list-memory", Title: "live heap with the list", Variable: "nodes", Unit: "MB", Form: Power, Residual: 0.5}, p.Nodes, listMemory},
 		{Series{Name: "query-module", Title: fmt.Sprintf("module, a query of %d parts over %d sections, each served after %v", QueryParts, QueryParts, served), Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Nodes, queryByNodes},
-		{Series{Name: "query-open", Title: fmt.Sprintf("the same before %d nodes", openNodes), Variable: "open queries", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Open, queryByOpen},
+		{Series{Name: "query-touched", Title: fmt.Sprintf("the same over all sections in turn, every section asked before, %d a second", QueriesAll/Coordinators), Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Asked, queryTouched(p.Queries)},
+		{Series{Name: "query-open", Title: fmt.Sprintf("the first of these before %d nodes", openNodes), Variable: "open queries", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Open, queryByOpen},
 		{Series{Name: "query-parts", Title: "a query through front, owner, module and nodes' connections", Variable: "parts", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Parts, queryByParts(QueryParts, p.Start)},
 		{Series{Name: "query-sockets", Title: fmt.Sprintf("the same, of %d parts", QueryParts), Variable: "nodes", Unit: "us CPU", Form: Linear, Residual: 0.35}, p.Nodes, socketQueryByNodes(p.Start)},
 		{Series{Name: "refusal", Title: "a query refused at the gate", Variable: "parts", Unit: "us CPU", Form: Power, Residual: 0.5}, p.Parts, refusalByParts},
