--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -106,22 +106,19 @@
 // mostGrowth is how much dearer one changed entry may be at the largest list than at the smallest, a hundredth of it.
 const mostGrowth = 2
 
-// growing are the series that are held to that; those of them that the tree is stated to hold are marked.
-var growing = []struct {
-	series string
-	stated bool
-}{{"change-module", false}, {"change-path", false}, {"member-change", false}, {"change-touched", false}}
+// growing are the series that the tree is stated to hold to that.
+var growing = []string{"change-module", "change-path", "member-change", "change-touched"}
 
 // bounds are a run's figures beside what they may be.
 func bounds(r *Run) (list []Bound) {
-	for _, g := range growing {
-		s := r.Find(g.series)
+	for _, name := range growing {
+		s := r.Find(name)
 		if s == nil {
 			continue
 		}
 		first, largest := s.Points[0], s.Points[len(s.Points)-1]
-		list = append(list, Bound{Name: fmt.Sprintf("`%s`: %s nodes over %s", g.series, number(largest.X), number(first.X)), Figure: round(largest.Median / first.Median),
-			Most: mostGrowth, Unit: "times", Stated: g.stated})
+		list = append(list, Bound{Name: fmt.Sprintf("`%s`: %s nodes over %s", name, number(largest.X), number(first.X)), Figure: round(largest.Median / first.Median),
+			Most: mostGrowth, Unit: "times", Stated: true})
 	}
 	return list
 }
