Capacity page: the choice of the mechanism is generated from the rows

What is missing first was said in words beside figures typed by hand. It is a list now, made from the rows over their bound that no mechanism carries. The renewal of shares is held against the aim, rows for restarts, node bytes and the lists' state are there, plots have one unit each.

--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -70,7 +70,7 @@
 
 // Regions are the generated parts of the page by name.
 func (r Results) Regions() map[string]string {
-	regions := map[string]string{"tail": tailText(Asked), "over": r.overText(Asked), "twice": r.twiceText(), "slopes-baseline": slopesText(r.Baseline),
+	regions := map[string]string{"tail": tailText(Asked), "over": r.overText(Asked), "choice": r.choiceText(), "twice": r.twiceText(), "slopes-baseline": slopesText(r.Baseline),
 		"slopes-current": "Not run yet.\n"}
 	if r.Current != nil {
 		regions["slopes-current"] = slopesText(r.Current)
@@ -231,6 +231,24 @@
 	return b.String()
 }
 
+// choiceText names what is missing first: the rows without a mechanism that were furthest over their bound.
+func (r Results) choiceText() string {
+	var b strings.Builder
+	for i, row := range missingFirst(Rows(Asked, r.Baseline, nil, false)) {
+		over := "nothing bounds it"
+		if !math.IsInf(row.Figure, 1) {
+			over = fmt.Sprintf("%s, %s times the bound", quantity(row.Figure, row.Unit), number(row.Ratio()))
+		}
+		fmt.Fprintf(&b, "%d. %s, %s, %s: %s (%s).\n", i+1, row.Role, row.Situation, row.What, over, quantity(row.Most, row.Unit))
+	}
+	return b.String()
+}
+
+// missingFirst are the rows over their bound that nothing in the code carries, the largest ratio first.
+func missingFirst(rows []Row) []Row {
+	return slices.DeleteFunc(Over(rows), func(r Row) bool { return r.Mechanism != "" })
+}
+
 func sortByRatio(rows []Row) {
 	slices.SortStableFunc(rows, func(a, b Row) int { return cmp.Compare(b.Ratio(), a.Ratio()) })
 }
--- a/internal/capacity/plot.go
+++ b/internal/capacity/plot.go
@@ -2,6 +2,7 @@
 
 import (
 	"image/color"
+	"math"
 	"os"
 
 	"gonum.org/v1/plot"
@@ -13,28 +14,30 @@
 
 const (
 	panelWidth  = 15 * vg.Centimeter
-	panelHeight = 10 * vg.Centimeter
+	panelHeight = 11 * vg.Centimeter
+	legendRow   = 0.06 // of the height of the lines, for each of them
 )
 
 var palette = []color.Color{color.RGBA{31, 119, 180, 255}, color.RGBA{214, 39, 40, 255}, color.RGBA{44, 160, 44, 255},
 	color.RGBA{148, 103, 189, 255}, color.RGBA{255, 127, 14, 255}, color.RGBA{23, 190, 207, 255}}
 
-// Plot draws a run's series on logarithmic axes, those of one variable in one panel, as a PNG file.
+// Plot draws a run's series on logarithmic axes, those of one unit and variable in one panel, as a PNG file.
 func Plot(r *Run, path string) (err error) {
-	var variables []string
+	var titles []string
 	panels := map[string][]Series{}
 	for _, s := range r.Series {
-		if panels[s.Variable] == nil {
-			variables = append(variables, s.Variable)
+		title := s.Unit + " by " + s.Variable
+		if panels[title] == nil {
+			titles = append(titles, title)
 		}
-		panels[s.Variable] = append(panels[s.Variable], s)
+		panels[title] = append(panels[title], s)
 	}
 	const columns = 2
-	rows := (len(variables) + columns - 1) / columns
+	rows := (len(titles) + columns - 1) / columns
 	canvas := vgimg.New(columns*panelWidth, vg.Length(rows)*panelHeight)
 	tiles := draw.Tiles{Rows: rows, Cols: columns, PadX: vg.Centimeter, PadY: vg.Centimeter}
-	for i, variable := range variables {
-		p, err := panel(variable, panels[variable])
+	for i, title := range titles {
+		p, err := panel(title, panels[title])
 		if err != nil {
 			return err
 		}
@@ -51,11 +54,10 @@
 	return out.Close()
 }
 
-// panel draws the series of one variable.
-func panel(variable string, list []Series) (*plot.Plot, error) {
+// panel draws some series of one unit and variable.
+func panel(title string, list []Series) (*plot.Plot, error) {
 	p := plot.New()
-	p.Title.Text = "Cost by " + variable
-	p.X.Label.Text = variable
+	p.Title.Text = title
 	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
 	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
 	p.Legend.Top, p.Legend.Left = true, true
@@ -74,7 +76,8 @@
 		line.Dashes = [][]vg.Length{nil, {vg.Points(6), vg.Points(3)}, {vg.Points(1), vg.Points(2)}}[i/len(palette)%3]
 		marks.Color = line.Color
 		p.Add(line, marks)
-		p.Legend.Add(s.Name+" ("+s.Unit+")", line, marks)
+		p.Legend.Add(s.Name, line, marks)
 	}
+	p.Y.Max *= math.Pow(p.Y.Max/p.Y.Min, legendRow*float64(len(list))) // room for the legend above the lines
 	return p, nil
 }
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -132,7 +132,7 @@
 		m.discoveryRows()
 	}
 	m.changeRows(distributed)
-	m.dataRows()
+	m.dataRows(distributed)
 	m.nodeRows()
 	m.operatorRows(distributed)
 	return m.rows
@@ -148,7 +148,7 @@
 	rate := m.size.entriesOfDay() / day
 	how := fmt.Sprintf("%.3g/s: (%d x %s restarts + %d x %s failures) / 86,400 s", rate, entriesOfRestart, number(m.size.Restarts), entriesOfFailure, number(m.size.Failures))
 	m.add(ControlPath, "day-cpu", ordinary, "CPU: the day's changes one by one, no queries", "of a core", m.at("change-path", n).times(rate/coreSecond, how), ControlCores, "`onList`, `settle`")
-	m.add(ControlPath, "day-cpu-touched", ordinary, "CPU: the same, every section asked (module alone)", "of a core", m.at("change-touched", n).times(rate/coreSecond, how), ControlCores, "`refillShard`, `hold`")
+	m.add(ControlPath, "day-cpu-touched", ordinary, "CPU: the same, every section asked (module alone)", "of a core", m.at("change-touched", n).times(rate/coreSecond, how), ControlCores, "`onList`, shares of sections")
 }
 
 // changeRows are changes of the list in trouble; who brings them makes no difference to the coordinator's own work.
@@ -197,6 +197,8 @@
 	m.add(ControlPath, "start-time", atStart, "time until the last coordinator has its list", "s", m.fleetStart(), startWithin, "`decide/backoff`: spreads calls, does not make them fewer")
 	m.add(ControlPath, "start-cpu", atStart, fmt.Sprintf("CPU: the whole list within %d s", startWithin), "of a core", m.at("list-path", s.Nodes).times(1e-3/startWithin, fmt.Sprintf("1e-3 / %d s", startWithin)), ControlCores, "`platform.Discovery`, `relate`: all pairs of nodes")
 	m.add(ControlPath, "start-bytes", atStart, fmt.Sprintf("bytes: the whole list within %d s", startWithin), "bytes/s", list.times(1.0/startWithin, fmt.Sprintf("1 / %d s", startWithin)), ControlBytes, "")
+	m.add(Source, "source-state", ordinary, "state: the list", "MB", m.at("list-bytes", s.Nodes), 0, "discovery's own")
+	m.add(Source, "source-restarts", ordinary, "bytes: lists to coordinators that restart", "bytes/s", s.restartBytes(m.at("list-bytes", s.Nodes)), 0, "a remembered list and version where the process is handed one")
 	m.add(Source, "source-messages", ordinary, "messages: renewals of all watches", "a second", derived(s.Coordinators, "%s coordinators x 1/s", number(s.Coordinators)), 0, "`decide/backoff`: a renewal costs no turn")
 	m.add(Source, "source-change", ordinary, "time to answer all watches with one change", "s", turns(s), InForce.Seconds(), "")
 	m.add(Source, "source-start", atStart, "bytes: the list to all", "MB", m.at("list-bytes", s.Nodes).times(s.Coordinators, number(s.Coordinators)), 0, "")
@@ -218,12 +220,17 @@
 }
 
 // dataRows are the data path of a coordinator.
-func (m *model) dataRows() {
+func (m *model) dataRows(distributed bool) {
+	shares := "`refillShard`, `hold`: all nodes for each section"
+	if distributed {
+		shares = "shares of a section when a part wants them"
+	}
 	s := m.size
 	each := fmt.Sprintf("%s/s", number(s.queriesEach()))
-	m.add(DataPath, "data-module", ordinary, "CPU: the module, no sockets", "of a core", m.at("query-module", s.Nodes).times(s.queriesEach()/coreSecond, each), dataCores, "module, one goroutine: `watchReplicas` at each step")
-	m.add(DataPath, "data-sockets", ordinary, "CPU: front, owner, module, nodes' connections", "of a core", m.at("query-sockets", s.Nodes).times(s.queriesEach()/coreSecond, each), dataCores, "")
-	m.add(DataPath, "data-shares", ordinary, "CPU: shares of all sections, each second", "of a core", m.at("renew-shares", s.Nodes).times(1/coreSecond, "1/s"), dataCores, "`refillShard`, `hold`: all nodes for each section")
+	m.add(DataPath, "data-module", ordinary, fmt.Sprintf("CPU: the module alone, queries over %d sections", QueryParts), "of a core", m.at("query-module", s.Nodes).times(s.queriesEach()/coreSecond, each), dataCores, "one goroutine")
+	m.add(DataPath, "data-module-all", ordinary, "CPU: the module alone, queries over all sections, renewal of shares included", "of a core", m.at("query-touched", s.Nodes).times(s.queriesEach()/coreSecond, each), dataCores, "one goroutine")
+	m.add(DataPath, "data-sockets", ordinary, fmt.Sprintf("CPU: front, owner, module, nodes' connections, queries over %d sections", QueryParts), "of a core", m.at("query-sockets", s.Nodes).times(s.queriesEach()/coreSecond, each), dataCores, "")
+	m.add(DataPath, "data-shares", ordinary, "CPU: the module's look each second, every section asked, in one step; against the whole aim", "ms", m.at("renew-shares", s.Nodes).times(1e-3, "1e-3"), AnswerAim.Seconds()*1e3, shares)
 	open := s.queriesEach() * AnswerAim.Seconds()
 	m.add(DataPath, "data-open", ordinary, "state: open queries, each open for the whole aim", "queries", derived(open, "%s x %v", each, AnswerAim), 0, "`core.Limits.Open`")
 	m.add(DataPath, "data-bytes", ordinary, "bytes: parts and their answers", "MB/s", assumed(s.queriesEach()*s.Parts*partBytes/1e6, "%s x %s parts x %d bytes (assumed; a run with real values would prove it)", each, number(s.Parts), partBytes), 0, "`platform.Nodes`: one frame for a call")
@@ -237,6 +244,8 @@
 func (m *model) nodeRows() {
 	s := m.size
 	m.add(DataNode, "node-parts", ordinary, "messages: parts", "a second", derived(s.partsEach(), "%s queries/s x %s parts / %s nodes", number(s.Queries), number(s.Parts), number(s.Nodes)), 0, "`draw`: shares, 1.2 equal ones at most")
+	m.add(DataNode, "node-bytes", ordinary, "bytes: parts and their answers", "MB/s", assumed(s.partsEach()*partBytes/1e6, "%s parts/s x %d bytes (assumed; a run with real values would prove it)", number(s.partsEach()), partBytes), 0, "`platform.Nodes`")
+	m.add(DataNode, "node-cpu", ordinary, "CPU and memory of a node for its parts and connections", "", figure{basis: NotRun, how: "a node's own work: only the operators' nodes can tell, stand-ins do not"}, 0, "")
 	m.add(DataNode, "node-connections", ordinary, "descriptors: connections of coordinators", "descriptors", derived(s.kept()/s.Nodes*s.Coordinators, "%s kept / %s nodes x %s coordinators", number(s.kept()), number(s.Nodes), number(s.Coordinators)), Descriptors, "`decide/subsetting`: two of three holders")
 	m.add(DataNode, "node-copies", ordinary, "messages: second copies, at most", "a second", derived(hedgeShare*s.partsEach(), "%g of %s parts/s (`hedgeShare`)", hedgeShare, number(s.partsEach())), 0, "`hedge`")
 	zone := s.Nodes / s.Zones
--- a/internal/capacity/rows_relay.go
+++ b/internal/capacity/rows_relay.go
@@ -76,6 +76,7 @@
 	readers, list := s.relayReaders(), m.at("member-list-bytes", s.Nodes)
 	entry := m.at("list-bytes", s.Nodes).times(1e6/s.Nodes, fmt.Sprintf("1e6 / %s", number(s.Nodes)))
 	heartbeats := fmt.Sprintf("%d resources / %v", resources, heartbeat)
+	m.add(Source, "source-state", ordinary, "state: the list", "MB", m.at("list-bytes", s.Nodes), 0, byRelay)
 	m.add(Source, "source-messages", ordinary, "messages: watches renewed by relays", "a second", derived(s.relays()*renewalsEach(), "%s relays x %s", number(s.relays()), heartbeats), 0, byRelay)
 	m.add(Source, "source-start", atStart, "bytes: the list to all relays", "MB", list.times(s.relays(), number(s.relays())+" relays"), 0, byBudget)
 	m.add(Source, "source-start-rate", atStart, fmt.Sprintf("bytes: the same within %d s", startWithin), "MB/s", list.times(s.relays()/startWithin, fmt.Sprintf("%s / %d s", number(s.relays()), startWithin)), snapshotBudget/1e6, byBudget)
@@ -85,6 +86,7 @@
 	m.add(Relays, "relay-readers", ordinary, "state: coordinators at a relay", "readers", derived(readers, "%s coordinators / (%s machines - %d authority)", number(s.Coordinators), number(s.Machines), authorities), 0, "`decide/sources`: own zone, region, any")
 	m.add(Relays, "relay-descriptors", ordinary, "descriptors: a connection for each reader and resource", "descriptors", derived(resources*readers, "%d x %s readers", resources, number(readers)), Descriptors, "`relay.Server`: a bound on readers")
 	m.add(Relays, "relay-descriptors-one", "all relays but one lost", "descriptors at the last relay, if it takes all", "descriptors", derived(resources*s.Coordinators, "%d x %s coordinators", resources, number(s.Coordinators)), Descriptors, "`readers: 400` in its file: those beyond are told when to come back")
+	m.add(Relays, "relay-restarts", ordinary, "bytes: lists to coordinators that restart, at all relays", "bytes/s", s.restartBytes(list), 0, byBudget)
 	m.add(Relays, "relay-memory", ordinary, "memory: list, readers", "MB", m.at("relay-memory", resources*readers), relayMB, byRelay)
 	m.add(Relays, "relay-idle-cpu", ordinary, "CPU: heartbeats of all readers", "of a core", m.at("relay-idle", resources*readers).times(1/coreSecond, "1/s"), 1, byRelay)
 	perDay := s.entriesOfDay() + s.Settings
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -1,5 +1,7 @@
 package capacity
 
+import "fmt"
+
 // Size is a fleet, what it is asked for, and what happens to it.
 type Size struct {
 	Coordinators float64
@@ -55,6 +57,13 @@
 	return entriesOfRestart*s.Restarts + entriesOfFailure*s.Failures
 }
 
+// restartBytes is what coordinators read that are restarted, as often as any machine.
+func (s Size) restartBytes(list figure) figure {
+	share := s.Coordinators / (s.Coordinators + s.Nodes)
+	return list.times(1e6*s.Restarts*share/day, fmt.Sprintf("1e6 x %s restarts x %s / (%s + %s) machines / 86,400 s", number(s.Restarts), number(s.Coordinators),
+		number(s.Coordinators), number(s.Nodes)))
+}
+
 // zoneNodes is how many nodes a zone has, regionNodes how many a region.
 func (s Size) zoneNodes() float64   { return float64(int(s.Nodes / s.Zones)) }
 func (s Size) regionNodes() float64 { return s.Nodes / s.Regions }
