--- a/internal/decide/versionlog/json.go
+++ b/internal/decide/versionlog/json.go
@@ -25,12 +25,12 @@
 
 // answer is a slice as it goes over the wire.
 type answer struct {
-	Epoch     int64             `json:"epoch"`
-	Index     int64             `json:"index"`
-	Head      int64             `json:"head"`
-	Snapshot  bool              `json:"snapshot"`
-	More      bool              `json:"more"`
-	Base      int64             `json:"base"`
+	Epoch     int64            `json:"epoch"`
+	Index     int64            `json:"index"`
+	Head      int64            `json:"head"`
+	Snapshot  bool             `json:"snapshot"`
+	More      bool             `json:"more"`
+	Base      int64            `json:"base"`
 	Endpoints []jsontext.Value `json:"endpoints"`
 }
 
@@ -85,7 +85,9 @@
 }
 
 // isObject tells whether data is a JSON object and nothing else.
-func isObject(data []byte) bool { return len(data) > 0 && data[0] == '{' && jsontext.Value(data).IsValid() }
+func isObject(data []byte) bool {
+	return len(data) > 0 && data[0] == '{' && jsontext.Value(data).IsValid()
+}
 
 // versioned is the JSON object with its version as the first key.
 func versioned(object []byte, index int64) []byte {
