--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -183,7 +183,7 @@
 
 func capacityPageCommand() *cobra.Command {
 	var page, runs string
-	c := &cobra.Command{Use: "capacity-page", Short: "Makes the tables of the capacity page anew from the runs beside it", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "capacity-page", Short: "Makes the tables and plots of the capacity page anew from the runs beside it", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return capacity.RewriteFile(page, runs) }}
 	c.Flags().StringVar(&page, "page", "docs/CAPACITY.md", "the page")
 	c.Flags().StringVar(&runs, "runs", "docs/capacity", "folder of the runs")
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -273,7 +273,7 @@
 	return page, nil
 }
 
-// RewriteFile makes the generated regions of a page anew from the runs of a folder.
+// RewriteFile makes the generated regions of a page anew from the runs of a folder, and draws the runs beside them.
 func RewriteFile(path, folder string) error {
 	results, err := LoadResults(folder)
 	if err != nil {
@@ -287,5 +287,19 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(path, []byte(text), 0o644)
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		return err
+	}
+	for _, drawn := range []struct {
+		run  *Run
+		file string
+	}{{results.Baseline, baselineFile}, {results.Current, currentFile}} {
+		if drawn.run == nil {
+			continue
+		}
+		if err := Plot(drawn.run, filepath.Join(folder, strings.TrimSuffix(drawn.file, ".json")+".png")); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/internal/capacity/plot.go
+++ b/internal/capacity/plot.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	panelWidth  = 15 * vg.Centimeter
-	panelHeight = 11 * vg.Centimeter
+	panelWidth  = 12 * vg.Centimeter
+	panelHeight = 9 * vg.Centimeter
 	legendRow   = 0.06 // of the height of the lines, for each of them
 )
 
@@ -32,7 +32,7 @@
 		}
 		panels[title] = append(panels[title], s)
 	}
-	const columns = 2
+	const columns = 3
 	rows := (len(titles) + columns - 1) / columns
 	canvas := vgimg.New(columns*panelWidth, vg.Length(rows)*panelHeight)
 	tiles := draw.Tiles{Rows: rows, Cols: columns, PadX: vg.Centimeter, PadY: vg.Centimeter}
