--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -88,14 +88,6 @@
 	return figure{f.value * by, fmt.Sprintf("%s (%s) x %s", f.how, number(f.value), words), Derived}
 }
 
-// plus adds another.
-func (f figure) plus(o figure) figure {
-	if f.basis == NotRun || o.basis == NotRun {
-		return figure{basis: NotRun, how: f.how + " + " + o.how}
-	}
-	return figure{f.value + o.value, f.how + " + " + o.how, Derived}
-}
-
 // derived is arithmetic on the size asked.
 func derived(value float64, format string, args ...any) figure {
 	return figure{value, fmt.Sprintf(format, args...), Derived}
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -71,8 +71,5 @@
 // kept is how many nodes a coordinator keeps connections with: two of three holders of each section.
 func (s Size) kept() float64 { return float64((2*int(s.Nodes) + holders - 1) / holders) }
 
-// readers is how many coordinators there are to a control machine.
-func (s Size) readers() float64 { return s.Coordinators / s.Machines }
-
 // hedgeShare is the module's (aggregator.go): further attempts on suspicion, as a share of parts taken.
 const hedgeShare = 0.15
