--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -63,7 +63,10 @@
 	if err := wait(c.asked); err != nil {
 		return nil, errors.Join(err, c.end())
 	}
-	return c, c.whole(nodes)
+	if err := c.whole(nodes); err != nil {
+		return nil, errors.Join(err, c.end())
+	}
+	return c, wait(c.owner.Started()) // a long list is taken in several turns
 }
 
 // end stops the coordinator.
@@ -278,27 +281,37 @@
 // listMemory is the live heap of a coordinator with its list, over that without one.
 func listMemory(nodes int) (*subject, error) {
 	return &subject{figure: func() (float64, error) {
-		before := liveHeap()
+		before := settledMemory()
 		c, err := newControl(nodes)
 		if err != nil {
 			return 0, err
 		}
-		bytes := liveHeap() - before
+		after := settledMemory()
 		runtime.KeepAlive(c)
-		return bytes / 1e6, c.end()
+		return after.heap.over(before.heap), c.end()
 	}}, nil
 }
 
-// liveHeap is what is reachable once what was ended before has gone.
-func liveHeap() float64 { return float64(settledMemory().HeapAlloc) }
-
 const (
 	settledFor  = 20 * time.Millisecond
 	settledMost = 2 * time.Second
+	leastMemory = 4 << 10 // what is less, or less than nothing, cannot be told from what the runtime itself does
 )
 
-// settledMemory waits until goroutines that are about to end have done so, and collects what they leave behind.
-func settledMemory() (m runtime.MemStats) {
+// memory is live heap, and that together with stacks.
+type memory struct{ heap, all bytes }
+
+// bytes are some.
+type bytes uint64
+
+// over is by how many megabytes there are more than before.
+func (b bytes) over(before bytes) (megabytes float64) {
+	return max(float64(b)-float64(before), leastMemory) / 1e6
+}
+
+// settledMemory waits until goroutines that are about to end have done so, collects what they leave behind, and reads what is
+// left.
+func settledMemory() memory {
 	began, since, count := time.Now(), time.Now(), runtime.NumGoroutine()
 	for time.Since(since) < settledFor && time.Since(began) < settledMost {
 		time.Sleep(settledFor / 10)
@@ -309,6 +322,7 @@
 	for range 2 { // the first one may be under way already
 		runtime.GC()
 	}
+	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return m
+	return memory{heap: bytes(m.HeapAlloc), all: bytes(m.HeapAlloc + m.StackInuse)}
 }
--- a/internal/capacity/member.go
+++ b/internal/capacity/member.go
@@ -139,7 +139,7 @@
 // renewed waits until a member has renewed its watch so often.
 func (m *member) renewed(times int64) error {
 	from := m.follower.Counters().Calls
-	for began := time.Now(); time.Since(began) < answerWait; time.Sleep(pollEvery) {
+	for began := time.Now(); time.Since(began) < answerWait; time.Sleep(renewals * shortHold / 5) {
 		if m.follower.Counters().Calls >= from+times {
 			return nil
 		}
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"time"
 
 	"harepass/internal/distribution"
@@ -33,10 +34,10 @@
 		Fleet: []int{15, 47, 150, 475, Coordinators}, Effort: Effort{Repeats: 5, CPU: 25 * time.Millisecond, Most: 2000}, Readers: []int{10, 32, 100, 320, 1000}, Heartbeat: heartbeat, Helpers: helpers}
 }
 
-// Small is the same shape at small size, for tests: one operation for each point.
+// Small is the same shape at small size, for tests: a few operations for each point.
 func Small() Plan {
 	return Plan{Nodes: []int{6, 12, 24, 60}, Wide: []int{6, 12, 24, 60}, Asked: []int{6, 12, 24, 60}, Queries: 2, Open: []int{1, 2, 4, 10}, Parts: []int{1, 2, 4, 10}, Entries: []int{1, 2, 4, 10},
-		Rates: []int{1, 2, 4, 10}, Connections: []int{1, 2, 4, 10}, Fleet: []int{3, 10, 20, 30}, Effort: Effort{Repeats: 1, Most: 1}, Readers: []int{1, 2, 4, 10}, Heartbeat: 20 * time.Millisecond, Helpers: HelpHere}
+		Rates: []int{1, 2, 4, 10}, Connections: []int{1, 2, 4, 10}, Fleet: []int{3, 10, 20, 30}, Effort: Effort{Repeats: 1, CPU: 100 * time.Microsecond, Most: 50}, Readers: []int{1, 2, 4, 10}, Heartbeat: 20 * time.Millisecond, Helpers: HelpHere}
 }
 
 const (
@@ -89,6 +90,7 @@
 func Measure(p Plan, progress io.Writer) (*Run, error) {
 	r := &Run{}
 	r.describe()
+	defer slog.SetLogLoggerLevel(slog.SetLogLoggerLevel(slog.LevelError)) // each member tells of the relay that it follows
 	began := time.Now()
 	for _, probe := range p.probes() {
 		s, err := probe.measure(p.Effort)
--- a/internal/capacity/relay.go
+++ b/internal/capacity/relay.go
@@ -24,7 +24,7 @@
 	relayReaders  = 4000
 	relayBody     = 64 << 10         // of an answer
 	longHold      = 20 * time.Second // no measurement waits for its end
-	pollEvery     = 500 * time.Microsecond
+	pollEvery     = time.Millisecond
 )
 
 // relaySource is an authority with a list, served on a loopback address.
@@ -280,8 +280,7 @@
 				return 0, err
 			}
 			defer w.end()
-			after := settledMemory()
-			return (float64(after.HeapAlloc+after.StackInuse) - float64(before.HeapAlloc+before.StackInuse)) / 1e6, nil
+			return settledMemory().all.over(before.all), nil
 		}}, nil
 	}
 }
