A return to a nearer relay is tried beside the one in use; a change's work is counted

The call to a nearer source that is silent held up the watch of the one in use by up to heartbeat and allowance, each time it was tried. It runs beside it now, and nothing of its answer counts. A test keeps such a call open and has a change come in; with the call in line, as before, it fails after 30 s.

--- a/internal/decide/sources/sources.go
+++ b/internal/decide/sources/sources.go
@@ -197,42 +197,43 @@
 
 // Nearer is a source to try in place of the current one: one that is nearer, and whose moment has come.
 func (s *Selector) Nearer(now time.Duration) (source Source, ok bool) {
-	i := s.nearer(now)
-	if i == none {
-		return Source{}, false
-	}
-	return s.candidates[i].Source, true
-}
-
-func (s *Selector) nearer(now time.Duration) int {
 	if s.current == none {
-		return none
+		return Source{}, false
 	}
-	for i, c := range s.candidates {
+	for _, c := range s.candidates {
 		if c.distance >= s.candidates[s.current].distance {
-			return none
+			break
 		}
 		if c.returnAt <= now {
-			return i
+			return c.Source, true
 		}
 	}
-	return none
+	return Source{}, false
 }
 
-// Return follows the source that Nearer named: it has answered.
-func (s *Selector) Return(now time.Duration) {
-	if i := s.nearer(now); i != none {
-		s.choose(i)
+// Return follows a source that Nearer named and that has answered. It does not where the current one is as near by now, or
+// there is none.
+func (s *Selector) Return(source Source) bool {
+	i := s.index(source)
+	if i == none || s.current == none || s.candidates[i].distance >= s.candidates[s.current].distance {
+		return false
 	}
+	s.choose(i)
+	return true
 }
 
-// Stay keeps the current source: the one that Nearer named is not fit yet.
-func (s *Selector) Stay(now time.Duration, reason Reason) {
-	if i := s.nearer(now); i != none {
+// Stay notes that a source that Nearer named is not fit yet.
+func (s *Selector) Stay(now time.Duration, source Source, reason Reason) {
+	if i := s.index(source); i != none && i != s.current {
 		s.fail(i, now, reason)
 	}
 }
 
+// index is a source's place among the candidates.
+func (s *Selector) index(source Source) int {
+	return slices.IndexFunc(s.candidates, func(c candidate) bool { return c.Source == source })
+}
+
 // fail notes that a source is not fit, and draws when it is tried again.
 func (s *Selector) fail(i int, now time.Duration, reason Reason) {
 	c, p := &s.candidates[i], pauses[reason]
--- a/internal/decide/sources/sources_test.go
+++ b/internal/decide/sources/sources_test.go
@@ -109,11 +109,13 @@
 					t.Fatalf("from %s it would return to %s", current.Address, nearer.Address)
 				}
 				if rapid.Bool().Draw(t, "fit") {
-					s.Return(now)
-					if got, _ := s.Current(); got != nearer {
+					if got, _ := s.Current(); !s.Return(nearer) || got == nearer {
+						t.Fatalf("it does not return from %s to %s", got.Address, nearer.Address)
+					}
+					if got, _ := s.Current(); got != nearer || s.Return(nearer) {
 						t.Fatalf("it follows %s, not %s", got.Address, nearer.Address)
 					}
-				} else if s.Stay(now, Failed); s.current == none {
+				} else if s.Stay(now, nearer, Failed); s.current == none {
 					t.Fatal("it has no source though it stays")
 				}
 			}
@@ -175,13 +177,14 @@
 		for {
 			now += 100 * ms
 			s.Served(now)
-			if _, ok := s.Nearer(now); !ok {
+			nearer, ok := s.Nearer(now)
+			if !ok {
 				continue
 			}
 			if now >= back {
 				break
 			}
-			s.Stay(now, Failed)
+			s.Stay(now, nearer, Failed)
 		}
 		if now > back+pauses[Failed].most+returnSpread+100*ms {
 			t.Errorf("seed %d returns %v late", seed, now-back)
--- a/internal/distribution/call.go
+++ b/internal/distribution/call.go
@@ -54,44 +54,60 @@
 	return sources.Failed
 }
 
-// call asks for what is new and takes the answer.
+// call asks the source in use for what is new and takes the answer.
 func (f *Follower) call(ctx context.Context, c *http1.Client, hold time.Duration) result {
+	cursor, known := f.state.Cursor()
+	answer, err := f.ask(ctx, c, cursor, known, hold)
+	if err == nil {
+		if err = f.take(c.Address, answer); err != nil {
+			f.failures.Add(1)
+		}
+	}
+	return result{err}
+}
+
+// ask makes a call for what is newer than a cursor.
+func (f *Follower) ask(ctx context.Context, c *http1.Client, cursor versionlog.Cursor, known bool, hold time.Duration) (*http1.Message, error) {
 	limited, cancel := context.WithTimeout(ctx, f.cfg.Hold+f.cfg.Allowance)
 	defer cancel()
-	cursor, known := f.state.Cursor()
 	f.calls.Add(1)
 	answer, _, err := c.Do(limited, &http1.Message{Method: "GET", Target: target(f.cfg.Resource, cursor, known, hold),
 		Header: textproto.MIMEHeader{"Host": {c.Address}}})
 	if err == nil {
-		err = f.take(c.Address, answer)
-	} else if limited.Err() != nil && ctx.Err() == nil {
-		err = fmt.Errorf("%w: %w", context.DeadlineExceeded, err)
+		return answer, nil
 	}
-	if err != nil {
-		f.failures.Add(1)
+	f.failures.Add(1)
+	if limited.Err() != nil && ctx.Err() == nil {
+		err = fmt.Errorf("%w: %w", context.DeadlineExceeded, err)
 	}
-	return result{err}
+	return nil, err
 }
 
-// take checks an answer and hands it to the consumer.
-func (f *Follower) take(source string, m *http1.Message) error {
+// read finds the slice in an answer.
+func read(m *http1.Message) (versionlog.Slice, error) {
 	switch m.Status {
 	case 200:
+		return decode(m.Body)
 	case 503:
-		return busyError{retryAfter(m)}
+		return versionlog.Slice{}, busyError{retryAfter(m)}
 	case 409:
-		return fmt.Errorf("%w: it says so", replica.ErrBehind)
-	default:
-		return fmt.Errorf("%w: status %d", errStatus, m.Status)
+		return versionlog.Slice{}, fmt.Errorf("%w: it says so", replica.ErrBehind)
 	}
-	slice, err := decode(m.Body)
+	return versionlog.Slice{}, fmt.Errorf("%w: status %d", errStatus, m.Status)
+}
+
+// take checks an answer and hands it to the consumer.
+func (f *Follower) take(source string, m *http1.Message) error {
+	slice, err := read(m)
 	if err == nil && f.cfg.Check != nil {
 		if bad := f.cfg.Check(slice.Entries); bad != nil {
 			err = fmt.Errorf("%w: %w", ErrInvalid, bad)
 		}
 	}
-	if err != nil {
+	if errors.Is(err, ErrInvalid) {
 		f.refused.Add(1)
+	}
+	if err != nil {
 		return err
 	}
 	before, _ := f.state.Cursor()
--- a/internal/distribution/follower.go
+++ b/internal/distribution/follower.go
@@ -48,6 +48,8 @@
 	dial      http1.Dialer // counts bytes
 	more      bool         // the last answer brought news and told of more
 	following bool         // the current source has given a good answer
+	trials    chan trial   // of a nearer source, once it is over
+	trying    bool         // one is under way, or its result waits in trials
 	// behindSince is when the current source's answers began to be older than the replica; zero while they are not.
 	behindSince time.Time
 
@@ -75,7 +77,7 @@
 		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	now := time.Now()
-	f := &Follower{cfg: cfg, selector: sources.New(cfg.Own, cfg.Sources, cfg.Rand), began: now, confirmed: now}
+	f := &Follower{cfg: cfg, selector: sources.New(cfg.Own, cfg.Sources, cfg.Rand), began: now, confirmed: now, trials: make(chan trial, 1)}
 	f.state.AnySnapshot = cfg.AnySnapshot
 	f.state.Seed(cfg.Known)
 	f.dial = f.countBytes(cfg.Dial)
@@ -105,6 +107,7 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	go f.watchAge(ctx)
+	defer f.endTrial()
 	for ctx.Err() == nil {
 		source, wait := f.selector.Next(f.now())
 		if wait > 0 {
@@ -120,8 +123,9 @@
 	c := f.client(source)
 	defer func() { c.Close() }()
 	defer f.left()
-	for first := true; ; first = false {
+	for first := true; ; {
 		result := f.call(ctx, c, f.hold(first))
+		first = false
 		if ctx.Err() != nil {
 			return
 		}
@@ -130,7 +134,8 @@
 		}
 		if nearer, client := f.returnTo(ctx); client != nil {
 			c.Close()
-			source, c = nearer, client
+			source, c, first = nearer, client, true
+			f.answered(source)
 		}
 	}
 }
@@ -170,24 +175,6 @@
 	f.mu.Unlock()
 }
 
-// returnTo tries a nearer source where there is one to try. It returns that with its client where it can be followed.
-func (f *Follower) returnTo(ctx context.Context) (sources.Source, *http1.Client) {
-	source, ok := f.selector.Nearer(f.now())
-	if !ok || !f.state.Whole() {
-		return source, nil
-	}
-	c := f.client(source)
-	if result := f.call(ctx, c, noHold); result.err != nil {
-		c.Close()
-		f.selector.Stay(f.now(), result.reason())
-		return source, nil
-	}
-	f.selector.Return(f.now())
-	f.selector.Served(f.now())
-	f.answered(source)
-	return source, c
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/distribution/follower_test.go
+++ b/internal/distribution/follower_test.go
@@ -39,9 +39,17 @@
 
 // follow starts a member of a zone.
 func follow(t *testing.T, list ...sources.Source) *member {
+	return followWith(t, Config{Sources: list, Allowance: 300 * time.Millisecond})
+}
+
+func followWith(t *testing.T, cfg Config) *member {
 	m := &member{t: t, held: map[string]string{}}
-	m.Follower = New(Config{Resource: Instances, Own: inZone, Sources: list, Rand: rand.New(rand.NewPCG(1, 2)), Apply: m.apply, Check: known,
-		Hold: 200 * time.Millisecond, Allowance: 300 * time.Millisecond})
+	for _, name := range cfg.Known {
+		m.held[name] = "known"
+	}
+	cfg.Resource, cfg.Own, cfg.Hold, cfg.Rand = Instances, inZone, 200*time.Millisecond, rand.New(rand.NewPCG(1, 2))
+	cfg.Apply, cfg.Check = m.apply, known
+	m.Follower = New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { m.Run(ctx); close(done) }()
@@ -178,6 +186,27 @@
 	m.neverBack()
 }
 
+// A nearer source that takes the call of a member which would return, and says nothing, keeps no change from it: it is tried
+// beside the one in use.
+func TestSilentReturn(t *testing.T) {
+	t.Parallel()
+	l := newLog(1, "a")
+	zone, far := newSource(t, l), newSource(t, l)
+	m := followWith(t, Config{Sources: []sources.Source{at(far, elsewhere), at(zone, inZone)}, Allowance: 5 * time.Minute}) // silence lasts longer than the test waits
+	m.reaches(l.head())
+	zone.stop()
+	m.eventually("the far source", func() bool { return m.Status().Source == far.address })
+	zone.set(func(s *source) { s.silent = true })
+	before := zone.called()
+	zone.start(t)
+	m.eventually("a trial", func() bool { return zone.called() > before })
+	l.put("a", "terminating")
+	m.eventually("the drain", func() bool { return m.statusOf("a") == "terminating" })
+	if m.Status().Source != far.address {
+		t.Errorf("it follows %s", m.Status().Source)
+	}
+}
+
 // An older epoch, and an older index of the same one, are never taken, though no other source is left; the sources behind
 // are left, and followed once they have caught up.
 func TestBehind(t *testing.T) {
@@ -301,13 +330,8 @@
 		}
 	})
 	far.set(func(s *source) { s.bytes, s.silent = 1200, true })
-	m := &member{t: t, held: map[string]string{"n39": "known", "n01": "known", "gone": "known"}}
-	m.Follower = New(Config{Resource: Instances, Own: inZone, Sources: []sources.Source{at(zone, inZone), at(far, elsewhere)}, Apply: m.apply,
-		Known: []string{"n39", "n01", "gone"}, Hold: 200 * time.Millisecond, Allowance: 300 * time.Millisecond})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { m.Run(ctx); close(done) }()
-	defer func() { cancel(); <-done }()
+	m := followWith(t, Config{Sources: []sources.Source{at(zone, inZone), at(far, elsewhere)}, Known: []string{"n39", "n01", "gone"},
+		Allowance: 300 * time.Millisecond})
 	m.eventually("calls to both", func() bool { return zone.called() > 1 && far.called() > 0 })
 	if m.statusOf("n01") != "in_service" || m.statusOf("gone") != "known" || m.Status().Whole {
 		t.Errorf("half: it holds %s", m.names())
--- /dev/null
+++ b/internal/platform/onechange_test.go
@@ -0,0 +1,75 @@
+package platform
+
+import (
+	"fmt"
+	"testing"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/decide/replica"
+	"harepass/internal/decide/versionlog"
+	"harepass/internal/distribution"
+)
+
+// reader is what a coordinator does with answers up to where the owner has them, with a list of so many nodes.
+type reader struct {
+	state replica.State
+	list  *Distributed
+	index int64
+}
+
+func newReader(tb testing.TB, nodes int) *reader {
+	r := &reader{list: NewDistributed(List{}), index: 10_000} // of as many digits for each list
+	r.list.Keep(func() {})
+	r.list.Listed = func(harepass.ListScope, []core.Node) {}
+	whole := versionlog.Slice{Version: versionlog.Version{Epoch: 1, Index: r.index}, Head: r.index, Snapshot: true}
+	for i := range nodes {
+		whole.Entries = append(whole.Entries, oneEntry(i, int64(i+1)))
+	}
+	r.take(tb, whole)
+	return r
+}
+
+func oneEntry(node int, index int64) versionlog.Entry {
+	name := fmt.Sprintf("n%04d", node)
+	return versionlog.Entry{Name: name, Index: index, Body: fmt.Appendf(nil,
+		`{"version":%d,"name":%q,"address":"127.0.0.1:9","zone":"z","type":"m","group":1,"status":"in_service","weight":1,"since_ms":0}`, index, name)}
+}
+
+func (r *reader) take(tb testing.TB, slice versionlog.Slice) {
+	if err := r.list.Check(slice.Entries); err != nil {
+		tb.Fatal(err)
+	}
+	c, err := r.state.Take(slice)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	r.list.Apply(distribution.Update{Slice: slice, Entries: c.Entries, Gone: c.Gone, Completed: c.Completed, Whole: c.Whole})
+}
+
+// change takes the next change of one entry.
+func (r *reader) change(tb testing.TB) {
+	r.index++
+	r.take(tb, versionlog.Slice{Version: versionlog.Version{Epoch: 1, Index: r.index}, Head: r.index, Entries: []versionlog.Entry{oneEntry(3, r.index)}})
+}
+
+// A changed entry makes no more work on a long list than on a short one, counted in allocations.
+func TestOneChangeIsWorkForOne(t *testing.T) {
+	short, long := newReader(t, 70), newReader(t, 7000)
+	a, b := testing.AllocsPerRun(100, func() { short.change(t) }), testing.AllocsPerRun(100, func() { long.change(t) })
+	if a != b {
+		t.Errorf("%v allocations with 70 nodes, %v with 7,000", a, b)
+	}
+}
+
+// The same by time: go test -bench OneChange ./internal/platform
+func BenchmarkOneChange(b *testing.B) {
+	for _, nodes := range []int{70, 700, 7000} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			r := newReader(b, nodes)
+			for b.Loop() {
+				r.change(b)
+			}
+		})
+	}
+}
