A busy relay's word is kept: four refusals in a row, not three seconds

A relay with a full budget gives each reader a place of its own, at times well past the 3 s after which a reader went to a relay farther away, where it took another place and left the first unused. Now refusals are counted: one that is told a time comes back at it, and goes farther after four in a row, as at a relay that has nothing yet.

--- a/internal/decide/sources/sources.go
+++ b/internal/decide/sources/sources.go
@@ -58,8 +58,11 @@
 	returnSpread = 3 * time.Second
 	// stable is how long a source has to serve until its failures are forgotten.
 	stable = 5 * time.Second
-	// patience is how long a source that is busy is waited for instead of going to one farther away.
-	patience = 3 * time.Second
+	// patience is how many refusals of a busy source in a row are borne before one farther away is asked. One that has a
+	// place for this reader later refuses it once.
+	patience = 4
+	// idlePause is how long a reader without any source waits before it looks again.
+	idlePause = time.Second
 )
 
 // distance orders sources; nearer ones are lower.
@@ -84,14 +87,13 @@
 // candidate is what is known of a source.
 type candidate struct {
 	Source
-	distance  distance
-	failures  int           // since it was stable last
-	retryAt   time.Duration // not tried before
-	returnAt  time.Duration // not returned to before, by a reader that has another one
-	served    bool          // since it was chosen last
-	servedAt  time.Duration // its first answer since then
-	busy      bool          // it refused for want of capacity
-	busySince time.Duration // the first such refusal in a row
+	distance distance
+	failures int           // since it was stable last
+	retryAt  time.Duration // not tried before
+	returnAt time.Duration // not returned to before, by a reader that has another one
+	served   bool          // since it was chosen last
+	servedAt time.Duration // its first answer since then
+	refusals int           // in a row, for want of capacity
 }
 
 // none stands for no source.
@@ -136,7 +138,7 @@
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		if c.retryAt <= now {
-			if at >= 0 && s.awaited(i, now) {
+			if at >= 0 && s.awaited(i) {
 				break
 			}
 			s.choose(i)
@@ -147,15 +149,15 @@
 		}
 	}
 	if at < 0 {
-		return Source{}, patience
+		return Source{}, idlePause
 	}
 	return Source{}, at - now
 }
 
 // awaited tells whether a source nearer than candidate i is busy and worth waiting for.
-func (s *Selector) awaited(i int, now time.Duration) bool {
+func (s *Selector) awaited(i int) bool {
 	return slices.ContainsFunc(s.candidates[:i], func(c candidate) bool {
-		return c.distance < s.candidates[i].distance && c.busy && now-c.busySince < patience
+		return c.distance < s.candidates[i].distance && c.refusals > 0 && c.refusals < patience
 	})
 }
 
@@ -167,7 +169,7 @@
 // Served notes a good answer of the current source.
 func (s *Selector) Served(now time.Duration) {
 	c := &s.candidates[s.current]
-	c.busy = false
+	c.refusals = 0
 	if !c.served {
 		c.served, c.servedAt = true, now
 	}
@@ -187,9 +189,7 @@
 // these times over the readers that it refused.
 func (s *Selector) Busy(now, retryAfter time.Duration) {
 	c := &s.candidates[s.current]
-	if !c.busy {
-		c.busy, c.busySince = true, now
-	}
+	c.refusals++
 	c.retryAt = now + retryAfter
 	c.returnAt = c.retryAt + s.draw(returnSpread)
 	s.current = none
@@ -242,7 +242,7 @@
 		wait = min(2*wait, p.most)
 	}
 	c.failures = min(c.failures+1, maxFailures)
-	c.busy = false
+	c.refusals = 0
 	c.retryAt = now + time.Duration((1-jitter)*float64(wait)) + s.draw(time.Duration(jitter*float64(wait)))
 	c.returnAt = c.retryAt + s.draw(returnSpread)
 }
