Node connections are counted as they come and go

Each call that found its node's connections busy, and each new connection, had all nodes' connections counted for the limit: at 4,667 nodes kept that is as many map entries for one dial, and a start dials them all. The count is kept now where connections are opened and shut.

--- a/internal/platform/node_conn.go
+++ b/internal/platform/node_conn.go
@@ -75,6 +75,7 @@
 		return
 	}
 	c.closed = true
+	c.nodes.held--
 	list := slices.DeleteFunc(c.nodes.conns[c.node], func(o *nodeConn) bool { return o == c })
 	if c.nodes.conns[c.node] = list; len(list) == 0 { // the node may be gone for good
 		delete(c.nodes.conns, c.node)
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -37,6 +37,7 @@
 
 	mu      sync.Mutex // guards all below, connections included; nothing blocks under it
 	conns   map[string][]*nodeConn
+	held    int // connections in conns
 	sends   map[*core.Attempt]*sending
 	opening func()
 }
@@ -93,6 +94,7 @@
 	}
 	c := &nodeConn{nodes: n, node: node.ID, address: node.Address, wake: make(chan struct{}, 1), used: time.Now()}
 	n.conns[node.ID] = append(n.conns[node.ID], c)
+	n.held++
 	go c.run()
 	return c
 }
@@ -123,19 +125,12 @@
 func (n *Nodes) Held() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.held()
-}
-
-func (n *Nodes) held() (held int) {
-	for _, list := range n.conns {
-		held += len(list)
-	}
-	return held
+	return n.held
 }
 
 // full tells, under the lock, that no connection may be opened; the idle ones make way before that.
 func (n *Nodes) full() bool {
-	if n.Most == 0 || n.held() < n.Most {
+	if n.Most == 0 || n.held < n.Most {
 		return false
 	}
 	for _, list := range n.conns {
