--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -35,6 +35,12 @@
 	o.post(listed{source: source, scope: scope, nodes: nodes})
 }
 
+// ListedPart brings entries of a source's first list, of which further ones follow. They count at once, but the owner is
+// not ready by them: Listed with the last ones makes it so.
+func (o *Owner) ListedPart(source string, nodes []Node) {
+	o.post(listed{source: source, scope: harepass.ListChanges, nodes: nodes, more: true})
+}
+
 // merge merges the sources. The module takes a list, its changes or a refusal for an answer to its own
 // Subscribe, so a source that it did not ask comes in as remembered: with that it would never subscribe.
 func (o *Owner) merge(m listed) {
