Stand-in frames, answers and upgrades in steps with names; a span of the choices experiment

The stand-in's frame server, the truth checker, the log summary and the played upgrades were one long function each.

--- a/internal/lab/experiments/choices/choices.go
+++ b/internal/lab/experiments/choices/choices.go
@@ -30,7 +30,7 @@
 
 var fleetSizes = []fleetSize{
 	{members: 30, nodes: 20, work: 40 * time.Second, afterFault: 8 * time.Second},
-	{members: 300, nodes: 200, work: 20 * time.Second, afterFault: 8 * time.Second},
+	{members: 300, nodes: 200, work: 20 * time.Second, afterFault: 6 * time.Second},
 	{members: 1000, nodes: 200, work: 16 * time.Second, afterFault: 4 * time.Second},
 }
 
--- a/internal/logview/print.go
+++ b/internal/logview/print.go
@@ -1,6 +1,7 @@
 package logview
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -36,21 +37,7 @@
 
 // Print writes a table for each kind of thing, by second, and the worst nodes.
 func (s *Summary) Print(w io.Writer, worst int) error {
-	kinds := map[string]counts{}
-	for second, c := range s.Seconds {
-		for kind, row := range c {
-			for column, n := range row {
-				if kinds[kind] == nil {
-					kinds[kind] = counts{}
-				}
-				key := fmt.Sprintf("%6d", second)
-				if kinds[kind][key] == nil {
-					kinds[kind][key] = map[string]int{}
-				}
-				kinds[kind][key][column] = n
-			}
-		}
-	}
+	kinds := s.byKind()
 	if kinds["attempts"] == nil {
 		return ErrNoTrace
 	}
@@ -64,23 +51,34 @@
 		}
 	}
 	nodes := sorted(s.Nodes)
-	share := func(node string) float64 {
-		all := 0
-		for column, n := range s.Nodes[node] {
-			if column != "connections" {
-				all += n
+	slices.SortStableFunc(nodes, func(x, y string) int { return cmp.Compare(s.servedShare(x), s.servedShare(y)) })
+	return printCounts(w, fmt.Sprintf("attempts by node, the %d of %d that served the least part of theirs", min(worst, len(nodes)), len(nodes)),
+		s.Nodes, nodes[:min(worst, len(nodes))])
+}
+
+// byKind is a table for each kind of thing, with a row for each second.
+func (s *Summary) byKind() map[string]counts {
+	kinds := map[string]counts{}
+	for second, happened := range s.Seconds {
+		for kind, row := range happened {
+			if kinds[kind] == nil {
+				kinds[kind] = counts{}
 			}
+			kinds[kind][fmt.Sprintf("%6d", second)] = row
 		}
-		return float64(s.Nodes[node]["served"]) / float64(max(1, all))
 	}
-	slices.SortStableFunc(nodes, func(x, y string) int {
-		if share(x) < share(y) {
-			return -1
+	return kinds
+}
+
+// servedShare is the share of the attempts at a node that were served.
+func (s *Summary) servedShare(node string) float64 {
+	attempts := 0
+	for column, n := range s.Nodes[node] {
+		if column != "connections" {
+			attempts += n
 		}
-		return 1
-	})
-	return printCounts(w, fmt.Sprintf("attempts by node, the %d of %d that served the least part of theirs", min(worst, len(nodes)), len(nodes)),
-		s.Nodes, nodes[:min(worst, len(nodes))])
+	}
+	return float64(s.Nodes[node]["served"]) / float64(max(1, attempts))
 }
 
 func printCounts(w io.Writer, title string, c counts, rows []string) error {
--- a/internal/rigplay/upgrades.go
+++ b/internal/rigplay/upgrades.go
@@ -44,44 +44,56 @@
 		return err
 	}
 	defer h.Close()
-	next := func() (*rig.Process, time.Duration, error) {
-		began := time.Now()
-		p, err := h.Start()
-		if err == nil {
-			if err = rig.Wait("a yes", p.Serves); err != nil {
-				err = fmt.Errorf("%w\n%s", err, p.Log())
-			}
-		}
-		return p, time.Since(began), err
-	}
-	now, _, err := next()
+	serving, _, err := startVersion(h)
 	if err != nil {
 		return err
 	}
 	c := h.Crowd(u.Clients)
 	for i := range u.Count {
 		time.Sleep(u.Every)
-		if err := h.Take(now, i%upgradeNodes, true); err != nil {
-			return err
-		}
-		p, took, err := next()
-		if err != nil {
-			return err
-		}
-		now.Process.Signal(syscall.SIGTERM)
-		end := <-now.Over
-		fmt.Fprintf(out, "upgrade %d: yes after %v; the old one ended with %v\n", i+1, took.Round(time.Millisecond), end)
-		if err := h.Take(p, i%upgradeNodes, false); err != nil {
+		if serving, err = upgrade(h, serving, i, out); err != nil {
 			return err
 		}
-		now = p
 	}
 	c.End()
+	printTally(out, c)
+	return h.Check()
+}
+
+// startVersion starts a process and waits until it serves, which takes so long.
+func startVersion(h *rig.Host) (*rig.Process, time.Duration, error) {
+	start := time.Now()
+	p, err := h.Start()
+	if err != nil {
+		return nil, 0, err
+	}
+	if err := rig.Wait("a yes", p.Serves); err != nil {
+		return nil, 0, fmt.Errorf("%w\n%s", err, p.Log())
+	}
+	return p, time.Since(start), nil
+}
+
+// upgrade has a new process take over from the one that serves, as the i-th of them, with a node out meanwhile.
+func upgrade(h *rig.Host, serving *rig.Process, i int, out io.Writer) (*rig.Process, error) {
+	node := i % upgradeNodes
+	if err := h.Take(serving, node, true); err != nil {
+		return nil, err
+	}
+	next, took, err := startVersion(h)
+	if err != nil {
+		return nil, err
+	}
+	serving.Process.Signal(syscall.SIGTERM)
+	end := <-serving.Over
+	fmt.Fprintf(out, "upgrade %d: yes after %v; the old one ended with %v\n", i+1, took.Round(time.Millisecond), end)
+	return next, h.Take(next, node, false)
+}
+
+func printTally(out io.Writer, c *rig.Crowd) {
 	tally := c.Tally()
-	for _, k := range slices.Sorted(maps.Keys(tally)) {
-		fmt.Fprintf(out, "%s: %d\n", k, tally[k])
+	for _, outcome := range slices.Sorted(maps.Keys(tally)) {
+		fmt.Fprintf(out, "%s: %d\n", outcome, tally[outcome])
 	}
-	unsure, unheard := c.TurnedBack()
-	fmt.Fprintf(out, "connections that ended under a request: %d, of these unheard: %d\n", unsure, unheard)
-	return h.Check()
+	unanswered, unsent := c.TurnedBack()
+	fmt.Fprintf(out, "connections that ended under a request: %d, of these unheard: %d\n", unanswered, unsent)
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -4,14 +4,10 @@
 package standin
 
 import (
-	"bufio"
-	"encoding/binary"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -119,73 +115,6 @@
 	return append([]string(nil), f.seen...)
 }
 
-// Frames serves data-node frames until the listener is closed.
-func (f *Fleet) Frames(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go f.frames(c)
-	}
-}
-
-func (f *Fleet) frames(c net.Conn) {
-	defer c.Close()
-	r := bufio.NewReader(c)
-	var mu sync.Mutex
-	write := func(rest string) {
-		mu.Lock()
-		defer mu.Unlock()
-		b := binary.LittleEndian.AppendUint32(nil, uint32(len(rest)))
-		c.Write(append(b, rest...))
-	}
-	for {
-		var n uint32
-		if binary.Read(r, binary.LittleEndian, &n) != nil {
-			return
-		}
-		frame := make([]byte, n)
-		if _, err := io.ReadFull(r, frame); err != nil {
-			return
-		}
-		if frame[0] != '1' {
-			continue
-		}
-		line, _, _ := strings.Cut(string(frame[1:]), "\n")
-		var id, list string
-		var shard, length int
-		if _, err := fmt.Sscanf(line, "%s %d %s %d", &id, &shard, &list, &length); err != nil {
-			write("Xbad line")
-			return
-		}
-		reply := f.take(shard, line)
-		if f.Heard != nil {
-			f.Heard(id, reply.Kind)
-		}
-		time.AfterFunc(reply.After, func() {
-			switch reply.Kind {
-			case Serve:
-				value := fmt.Sprintf("v%d", shard)
-				if f.Data != nil {
-					docs := f.Data.Docs(shard)
-					f.work(unitsOf(len(docs), len(docs), false), nil)
-					value, _ = IDs(docs)
-				}
-				write(fmt.Sprintf("5%s S 1 -\n%s", id, value))
-			case Spoil:
-				write("5" + id)
-			case Fail:
-				write(fmt.Sprintf("5%s E 0 -\n", id))
-			case Reject:
-				write(fmt.Sprintf("5%s B 0 -\n", id))
-			case Break:
-				c.Close()
-			}
-		})
-	}
-}
-
 // Discovery answers each call with the same list; a watch is held for its time.
 func Discovery(l net.Listener, list func() string) {
 	http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/testbed/truth.go
+++ b/internal/testbed/truth.go
@@ -28,73 +28,31 @@
 	return list
 }
 
-// Answer is a search answer as clients read it.
-type Answer struct {
-	TimedOut bool `json:"timed_out"`
-	Shards   struct {
-		Total, Successful, Skipped, Failed int
-		Failures                           []struct{ Shard int }
-	} `json:"_shards"`
-	Hits struct {
-		Total struct{ Value int }
-		Hits  []struct {
-			ID     string `json:"_id"`
-			Source struct {
-				Section int
-				Version any
-				SnowCM  any `json:"snow_cm"`
-				Body    *string
-			} `json:"_source"`
-		}
-	}
-}
-
 // Check holds an answer to a search of all hits in some sections against the truth: the value of each section in it
 // is one that a holder had between the query's arrival and the answer, and the stated completeness is so.
 func (t Truth) Check(query map[string]any, sections []int, body []byte, from, to time.Time) (faults []string) {
-	fault := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
 	var a Answer
 	if err := json.Unmarshal(body, &a); err != nil {
 		return []string{err.Error()}
 	}
-	missing := map[int]bool{}
-	for _, f := range a.Shards.Failures {
-		missing[f.Shard] = true
-	}
-	if a.Shards.Total != len(sections) || a.Shards.Failed != len(missing) || a.Shards.Successful != len(sections)-len(missing) ||
-		a.Shards.Skipped > a.Shards.Successful || a.TimedOut != (len(missing) > 0) {
-		fault("completeness %+v of %d sections, timed out %t", a.Shards, len(sections), a.TimedOut)
-	}
-	if float64(a.Shards.Successful) < t.Floor*float64(len(sections))-1e-9 {
-		fault("an answer from %d of %d sections", a.Shards.Successful, len(sections))
-	}
-	if a.Hits.Total.Value != len(a.Hits.Hits) {
-		fault("total %d, %d hits", a.Hits.Total.Value, len(a.Hits.Hits))
-	}
-	got := map[int][]string{}
-	for _, h := range a.Hits.Hits {
-		id := docText(h.ID, h.Source.Version, h.Source.SnowCM)
-		if h.Source.Body != nil { // a node that speaks frames
-			id = *h.Source.Body
-		}
-		got[h.Source.Section] = append(got[h.Source.Section], id)
-	}
+	faults = a.checkCompleteness(len(sections), t.Floor)
+	missing, values := a.missing(), a.values()
 	for _, s := range sections {
-		value := strings.Join(slices.Sorted(slices.Values(got[s])), " ")
+		value := values[s]
+		delete(values, s)
 		if missing[s] {
 			if value != "" {
-				fault("section %d is called missing and has hits", s)
+				faults = append(faults, fmt.Sprintf("section %d is called missing and has hits", s))
 			}
 			continue
 		}
 		if had := t.Values(query, s, from, to); !had[value] {
-			fault("section %d: [%s] was at no holder between %v and %v, but %q", s, value, from, to, slices.Sorted(maps.Keys(had)))
+			faults = append(faults, fmt.Sprintf("section %d: [%s] was at no holder between %v and %v, but %q", s, value, from, to, slices.Sorted(maps.Keys(had))))
 		}
-		delete(got, s)
 	}
-	for s := range got {
+	for s := range values {
 		if !missing[s] {
-			fault("section %d was not asked for and has hits", s)
+			faults = append(faults, fmt.Sprintf("section %d was not asked for and has hits", s))
 		}
 	}
 	return faults
