--- a/internal/core/query.go
+++ b/internal/core/query.go
@@ -10,6 +10,7 @@
 
 	"harepass"
 	"harepass/internal/decide/overload"
+	"harepass/internal/decide/resend"
 )
 
 // This file is the queries that are open: what fronts hand over, and its way to one final answer.
@@ -21,12 +22,13 @@
 	Tenant   string
 	Until    time.Duration // when the client gives up, on the owner's clock
 	Retry    bool
-	Whole    bool   // no answer in part is wanted
-	Text     []byte // what each part carries to its node
-	Origin   any    // the front's own form of the query, for callers that know it
-	Admitted bool   // by the gate, as its head told: not counted there again
-	Index    string // not empty where it may be asked in two phases: what its sections' values are kept under
-	None     []byte // then: the value of a section without any hit
+	Whole    bool     // no answer in part is wanted
+	Text     []byte   // what each part carries to its node
+	Keys     []string // values of the client's resend.Header, one for each line; of use in keyed classes only
+	Origin   any      // the front's own form of the query, for callers that know it
+	Admitted bool     // by the gate, as its head told: not counted there again
+	Index    string   // not empty where it may be asked in two phases: what its sections' values are kept under
+	None     []byte   // then: the value of a section without any hit
 	Parts    []Part
 	Done     func(Answer)
 
@@ -65,6 +67,8 @@
 	*Query
 	id     string
 	number int64
+	resend resend.Policy // of its class when it was taken
+	key    string        // its idempotency key; empty in a class that is not keyed
 	taken  time.Duration
 	bytes  int64
 	parts  []*part
@@ -124,12 +128,18 @@
 		m.q.Done(Answer{Verdict: Refused, RetryIn: o.set().RetryAdvice})
 		return
 	}
+	policy := o.set().resendPolicy(m.q.Class) // the front's check may have gone by older settings
+	key, err := policy.Key(m.q.Keys)
+	if err != nil {
+		m.q.Done(Answer{Verdict: Invalid, Reason: err.Error()})
+		return
+	}
 	if o.drainEnd > 0 {
 		m.q.Until = min(m.q.Until, o.drainEnd)
 	}
 	o.held += size
 	o.next++
-	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10), number: o.next, taken: o.now}
+	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10), number: o.next, resend: policy, key: key, taken: o.now}
 	o.queries[q.id], o.byQuery[m.q] = q, q
 	o.hold(q, int64(queryBytes+len(q.Text)+partBytes*len(q.Parts)))
 	q.due = o.deadlines.add(q.Until+overdue, func() { o.overdue(q) })
@@ -227,6 +237,9 @@
 	default:
 		q.Until = min(q.Until, now+class.Deadline)
 	}
+	if _, err := class.Resend().Key(q.Keys); err != nil {
+		return err.Error()
+	}
 	sum, seen := 0.0, map[int]bool{}
 	for _, p := range q.Parts {
 		switch {
