--- a/internal/decide/versionlog/log_test.go
+++ b/internal/decide/versionlog/log_test.go
@@ -209,6 +209,34 @@
 	}
 }
 
+// A log is behind readers that have, or were told of, what it has not heard of.
+func TestBehind(t *testing.T) {
+	relay := New(0, 10)
+	partly := Slice{Version: Version{5, 20}, Head: 30, Snapshot: true, Entries: []Entry{{Name: "a", Index: 20, Body: object("a", 1)}}}
+	if err := relay.Apply(partly); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		from Cursor
+		want bool
+	}{
+		{Cursor{}, false},
+		{Cursor{Version: Version{4, 99}, Base: 99, Head: 99}, false},
+		{Cursor{Version: Version{5, 20}, Head: 30}, false}, // the rest is on its way
+		{Cursor{Version: Version{5, 20}, Head: 31}, true},
+		{Cursor{Version: Version{5, 21}}, true},
+		{Cursor{Version: Version{5, 3}, Base: 21}, true},
+		{Cursor{Version: Version{6, 1}}, true},
+	} {
+		if got := relay.Behind(c.from); got != c.want {
+			t.Errorf("behind %+v: %t", c.from, got)
+		}
+	}
+	if slice := relay.Read(Cursor{Version: Version{5, 20}, Head: 30}, 100); !slice.More() || len(slice.Entries) != 0 {
+		t.Errorf("a reader that has what the relay has gets %+v", slice)
+	}
+}
+
 // A relay takes over nothing that is older than what it has, out of order, or no part of what it is reading, and keeps
 // what it has.
 func TestApplyRefuses(t *testing.T) {
