--- a/internal/capacity/rows_relay.go
+++ b/internal/capacity/rows_relay.go
@@ -62,9 +62,13 @@
 	m.add(ControlPath, "start-bytes", atStart, fmt.Sprintf("bytes: the whole list within %d s", startWithin), "bytes/s", m.at("member-list-bytes", n).times(1e6/startWithin, fmt.Sprintf("1e6 / %d s", startWithin)), ControlBytes, byBudget)
 	m.add(ControlPath, "relay-day-cpu", ordinary, "CPU: the day's changes one by one from a relay, no queries", "of a core",
 		m.at("member-change", n).times(m.size.entriesOfDay()/day/coreSecond, fmt.Sprintf("%.3g/s", m.size.entriesOfDay()/day)), ControlCores, byFollower)
-	m.add(ControlPath, "run-cpu", ordinary, "CPU in the fleet's run, the one that spent most", "of a core", m.inRun("coordinators, calm", func(s *Scale) float64 { return s.Calm[scaleCoordinator].CPUMost }), ControlCores, "all of the above, and its clients")
-	m.add(ControlPath, "run-memory", ordinary, "memory in the fleet's run, the one that had most", "MB", m.inRun("coordinators, calm", func(s *Scale) float64 { return s.Calm[scaleCoordinator].MemoryMost }), ControlMemory, "the same")
-	m.add(ControlPath, "run-bytes", ordinary, "bytes in the fleet's run, the one that had most", "bytes/s", m.inRun("coordinators, calm", func(s *Scale) float64 { return 1e3 * s.Calm[scaleCoordinator].KBPerSMost }), ControlBytes, "the same")
+	hollow := "all of the above; a hollow coordinator, without clients"
+	m.add(ControlPath, "run-cpu", ordinary, "CPU in the fleet's run, mean of the host whose coordinators spent most", "of a core", m.inRun("hollow ones, calm", func(s *Scale) float64 { return s.Calm[scaleHost].CPUMost }), ControlCores, hollow)
+	m.add(ControlPath, "run-memory", "all of the run", "memory in the fleet's run, likewise", "MB", m.inRun("hollow ones, troubled", func(s *Scale) float64 { return s.Troubled[scaleHost].MemoryMost }), ControlMemory, hollow)
+	m.add(ControlPath, "run-bytes", ordinary, "bytes in the fleet's run, likewise", "bytes/s", m.inRun("hollow ones, calm", func(s *Scale) float64 { return 1e3 * s.Calm[scaleHost].KBPerSMost }), ControlBytes, hollow)
+	m.add(ControlPath, "run-start-cpu", atStart, "CPU in the fleet's run while all start, likewise", "of a core", m.inRun("hollow ones, starting", func(s *Scale) float64 { return s.Starting[scaleHost].CPUMost }), ControlCores, hollow)
+	m.add(DataPath, "run-real-cpu", ordinary, "CPU in the fleet's run of a real one with a client, the one that spent most", "of a core", m.inRun("coordinators, calm", func(s *Scale) float64 { return s.Calm[scaleCoordinator].CPUMost }), dataCores, "a whole `harepass serve`, control path and few queries")
+	m.add(DataPath, "run-real-memory", "all of the run", "memory in the fleet's run, likewise", "MB", m.inRun("coordinators, troubled", func(s *Scale) float64 { return s.Troubled[scaleCoordinator].MemoryMost }), dataMemory, "the same")
 	m.add(ControlPath, "zone-time", zoneLost, "time until all its entries are in force at all", "s", m.inTrouble("zone", "list, last", func(t ScaleTrouble) float64 { return t.List.Last }), window, byRelay)
 	m.add(ControlPath, "relay-lost-time", "relay lost", "time until a change is in force at its readers", "s", m.inTrouble("killed", "list, last", func(t ScaleTrouble) float64 { return t.List.Last }), window, "`decide/sources`: another within 1 s")
 	m.add(ControlPath, "region-time", regionCut, "time from its return until all there is in force", "s", m.inTrouble("cut off", "after its end, last", func(t ScaleTrouble) float64 { return t.Recovered.Last }), window, byRelay)
@@ -81,6 +85,7 @@
 	m.add(Source, "source-start", atStart, "bytes: the list to all relays", "MB", list.times(s.relays(), number(s.relays())+" relays"), 0, byBudget)
 	m.add(Source, "source-start-rate", atStart, fmt.Sprintf("bytes: the same within %d s", startWithin), "MB/s", list.times(s.relays()/startWithin, fmt.Sprintf("%s / %d s", number(s.relays()), startWithin)), snapshotBudget/1e6, byBudget)
 	m.add(Source, "source-zone-bytes", zoneLost, "bytes: its entries to all relays", "MB", entry.times(s.zoneNodes()*s.relays()/1e6, fmt.Sprintf("%s entries x %s relays / 1e6", number(s.zoneNodes()), number(s.relays()))), 0, "`Authority`: changes of 30 ms together")
+	m.add(Source, "authority-run-cpu", ordinary, "CPU in the fleet's run", "of a core", m.inRun("authority, calm", func(s *Scale) float64 { return s.Calm[scaleAuthority].CPUMost }), 1, "`relay.Authority`")
 	m.add(Source, "authority-lost", "authority lost", "changes that reach anybody", "a second", derived(0, "one process; relays and members go on by what they have, new settings wait"), 0, "")
 
 	m.add(Relays, "relay-readers", ordinary, "state: coordinators at a relay", "readers", derived(readers, "%s coordinators / (%s machines - %d authority)", number(s.Coordinators), number(s.Machines), authorities), 0, "`decide/sources`: own zone, region, any")
@@ -95,5 +100,9 @@
 	m.add(Relays, "relay-start-time", atStart, "time by the budget alone", "s", list.times(readers*1e6/snapshotBudget, fmt.Sprintf("%s readers / %g MB/s", number(readers), snapshotBudget/1e6)), startWithin, byBudget)
 	m.add(Relays, "relay-start-cpu", atStart, fmt.Sprintf("CPU: the same within %d s", startWithin), "of a core", m.at("relay-list", s.Nodes).times(readers/coreSecond/startWithin, fmt.Sprintf("%s readers / %d s", number(readers), startWithin)), 1, "slices are encoded once for all readers at one version")
 	m.add(Relays, "relay-zone-rate", zoneLost, fmt.Sprintf("bytes: its entries to all readers within %g s", InForce.Seconds()), "MB/s", entry.times(s.zoneNodes()*readers/1e6/InForce.Seconds(), fmt.Sprintf("%s entries x %s readers / 1e6 / %g s", number(s.zoneNodes()), number(readers), InForce.Seconds())), 0, byRelay)
+	m.add(Relays, "relay-run-cpu", ordinary, "CPU in the fleet's run, the one that spent most", "of a core", m.inRun("relays, calm", func(s *Scale) float64 { return s.Calm[scaleRelay].CPUMost }), 1, byRelay)
+	m.add(Relays, "relay-run-start-cpu", atStart, "CPU in the fleet's run, the one that spent most", "of a core", m.inRun("relays, starting", func(s *Scale) float64 { return s.Starting[scaleRelay].CPUMost }), 1, byRelay)
+	m.add(Relays, "relay-run-memory", "all of the run", "memory in the fleet's run, the one that had most", "MB", m.inRun("relays, troubled", func(s *Scale) float64 { return s.Troubled[scaleRelay].MemoryMost }), relayMB, byRelay)
+	m.add(Relays, "relay-run-bytes", ordinary, "bytes in the fleet's run, the one that had most", "bytes/s", m.inRun("relays, calm", func(s *Scale) float64 { return 1e3 * s.Calm[scaleRelay].KBPerSMost }), 0, byRelay)
 	m.add(Relays, "relay-lost-readers", "relay lost", "messages: readers that come to each other relay, within 1 s", "a second", derived(resources*readers/(s.relays()-1), "%d x %s readers / %s other relays / 1 s; no whole lists, for versions are the authority's", resources, number(readers), number(s.relays()-1)), 0, "`decide/sources`: drawn at random among equals")
 }
--- a/internal/capacity/scale.go
+++ b/internal/capacity/scale.go
@@ -56,6 +56,7 @@
 	scaleAuthority   = "authority"
 	scaleRelay       = "relay"
 	scaleCoordinator = "coordinator"
+	scaleHost        = "host of hollow coordinators"
 )
 
 // LoadScale reads a scale run's file.
