--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -15,6 +15,7 @@
 	Class   string
 	Shard   int
 	Text    []byte
+	Key     string // the query's idempotency key; empty in a class that is not keyed
 	Origin  any
 	Timeout time.Duration
 	Node    string
@@ -111,7 +112,7 @@
 	if p == nil {
 		return nil
 	}
-	at := &Attempt{Query: p.q.ID, Class: p.q.Class, Shard: p.shard, Text: p.q.Text, Origin: p.q.Origin,
+	at := &Attempt{Query: p.q.ID, Class: p.q.Class, Shard: p.shard, Text: p.q.Text, Key: p.q.key, Origin: p.q.Origin,
 		Timeout: a.Timeout, Node: a.Replica, part: p, no: len(p.attempts), sent: o.now}
 	p.attempts = append(p.attempts, at)
 	o.permitted(at)
