Subsetting: positions, sequences and slots instead of seats, lots and turns

internal/decide/subsetting named its results by metaphors that a newcomer has to have explained: a seat, a lot, a turn. The module's fields follow (position, sequence, raced, coldDraws, nextTrial).

--- a/aggregator.go
+++ b/aggregator.go
@@ -303,7 +303,7 @@
 // Queries.
 
 func (a *Aggregator) onQuery(ev QueryArrived) {
-	q := &query{QueryArrived: ev, cls: a.byClass[ev.Class], race: lots{}, luck: lots{}}
+	q := &query{QueryArrived: ev, cls: a.byClass[ev.Class], raced: draws{}, coldDraws: draws{}}
 	a.taken = append(a.taken, a.now)
 	if q.cls == nil {
 		a.do(Refuse{Query: ev.ID})
@@ -650,7 +650,7 @@
 		if a.busy(r) > least {
 			continue
 		}
-		v := p.q.race.draw(r, a.rng.ExpFloat64) / max(s.shares[p.q.cls.idx][i], weightSlack)
+		v := p.q.raced.draw(r, a.rng.ExpFloat64) / max(s.shares[p.q.cls.idx][i], weightSlack)
 		if v < low {
 			low, best = v, r
 		}
@@ -684,13 +684,13 @@
 	room := rate * a.set.Cold.Window.Seconds()
 	r.coldTokens, r.coldAt = min(max(1, room), r.coldTokens+rate*(a.now-r.coldAt).Seconds()), a.now
 	if time.Duration(a.refills-1)*refillEvery <= a.set.Cold.Window { // too young to know what it is asked for
-		p.q.luck[r] = 1 // none, later either: the budget was for this query too
+		p.q.coldDraws[r] = 1 // none, later either: the budget was for this query too
 	} else if room < 1 { // no whole part: what each root saves for it lies idle
 		crowd := float64(a.set.Reach) // what failed elsewhere may be all that its siblings were sent
 		if len(p.attempts) == 0 {
 			crowd = a.crowd(r)
 		}
-		return p.q.luck.draw(r, func() float64 { return a.lot(r) })*crowd*max(a.askedRate, least) < rate
+		return p.q.coldDraws.draw(r, func() float64 { return a.drawCold(r) })*crowd*max(a.askedRate, least) < rate
 	}
 	return r.coldTokens >= 1
 }
@@ -912,7 +912,7 @@
 	} else if at != nil && at.sent >= r.suspectAt {
 		r.pause = min(2*r.pause, scale(a.tightest, trialLast))
 	}
-	r.good, r.trialAt = 0, a.trialTurn(r, a.shun(r, r.pause))
+	r.good, r.trialAt = 0, a.nextTrial(r, a.shun(r, r.pause))
 }
 
 // unused tells whether a suspect that serves right after a reset was never ill: the part went on a connection
--- a/aggregator_test.go
+++ b/aggregator_test.go
@@ -195,7 +195,7 @@
 	b.a.refillShard(sh)
 	got := map[string]float64{}
 	for range 4000 {
-		q := &query{cls: b.a.classes[0], race: map[*replica]float64{}}
+		q := &query{cls: b.a.classes[0], raced: map[*replica]float64{}}
 		r := b.a.draw(&part{q: q}, sh, (*replica).ready)
 		got[r.ID] += 1.0 / 4000
 	}
--- a/internal/decide/subsetting/member.go
+++ b/internal/decide/subsetting/member.go
@@ -47,12 +47,12 @@
 	return (float64(p.Me) + 0.5) / float64(p.Of)
 }
 
-// Seat is where a coordinator sits among those who have to do with one thing, in [0, 1): theirs lie at equal distances. Of
-// the places of the whole fleet those who keep a node are an arc, so what they share is dealt out by their seats there.
-type Seat float64
+// Position is a coordinator's among those that have to do with one thing, in [0, 1): theirs lie at equal distances. Of the
+// places of the whole fleet those that keep a node are an arc, so what they share is dealt out by their positions there.
+type Position float64
 
-// Seat is the place's among all.
-func (p Place) Seat() Seat { return Seat(p.at()) }
+// Position is the place's among all coordinators.
+func (p Place) Position() Position { return Position(p.at()) }
 
 // frac is the part of x behind the point, in [0, 1).
 func frac(x float64) float64 {
--- a/internal/decide/subsetting/subset.go
+++ b/internal/decide/subsetting/subset.go
@@ -60,12 +60,12 @@
 // Keeps tells whether a node with that key is kept.
 func (s Subset) Keeps(key float64) bool { return key < s.Share }
 
-// Seat is the coordinator's among those who keep a node with that key.
-func (s Subset) Seat(p Place, key float64) Seat {
+// Position is the coordinator's among those that keep a node with that key.
+func (s Subset) Position(p Place, key float64) Position {
 	if s.Share == 1 {
-		return p.Seat()
+		return p.Position()
 	}
-	return Seat(frac(key / s.Share))
+	return Position(frac(key / s.Share))
 }
 
 // Among is how many of a section's holders, in the order of their keys, belong to the subset: those that are kept, and as
--- a/internal/decide/subsetting/subsetting_test.go
+++ b/internal/decide/subsetting/subsetting_test.go
@@ -147,14 +147,14 @@
 // Members with a share p of a draw send p of their number together, within one, whatever p and the size; with any traffic
 // each, what all send deviates from the sum of the shares by less than chance would, and never by more than the fall rule
 // of the platform gives away (N + 3 root N + 3).
-func TestLotsAddUp(t *testing.T) {
+func TestSequencesAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := rapid.IntRange(1, 1000).Draw(t, "coordinators")
 		p := rapid.Float64Range(0, 1).Draw(t, "share")
 		salt := rapid.Uint64().Draw(t, "salt")
 		n := 0
 		for _, pl := range fleet(m) {
-			if l := pl.Seat().Lot(salt); l.Next(1) < p {
+			if l := pl.Position().Sequence(salt); l.Next(1) < p {
 				n++
 			}
 		}
@@ -165,7 +165,7 @@
 		skew := rapid.Float64Range(0, 2).Draw(t, "skew")
 		sent, wanted := 0, 0.0
 		for _, pl := range fleet(m) {
-			l := pl.Seat().Lot(salt)
+			l := pl.Position().Sequence(salt)
 			draws := int(math.Exp(skew*rng.NormFloat64()) * 2)
 			own := 0
 			for range draws {
@@ -184,29 +184,29 @@
 }
 
 // Those who keep a node sit at equal distances, whichever arc of the fleet they are.
-func TestSeatsOfKeepers(t *testing.T) {
+func TestPositionsOfKeepers(t *testing.T) {
 	for _, m := range []int{150, 301, 1000} {
 		r := Ring{Cells: 179, Reach: 3, Nodes: 179}
 		for c := range r.Cells {
-			var seats []float64
+			var positions []float64
 			for _, p := range fleet(m) {
 				s := NewSubset(p, r, 2)
 				if key := s.Key(c, 0); s.Keeps(key) {
-					seats = append(seats, float64(s.Seat(p, key)))
+					positions = append(positions, float64(s.Position(p, key)))
 				}
 			}
-			slices.Sort(seats)
-			for i, at := range seats {
-				if math.Abs(at-float64(i)/float64(len(seats))) > 2/float64(len(seats)) {
-					t.Fatalf("%d: seat %d of %d at node %d is at %.3f", m, i, len(seats), c, at)
+			slices.Sort(positions)
+			for i, at := range positions {
+				if math.Abs(at-float64(i)/float64(len(positions))) > 2/float64(len(positions)) {
+					t.Fatalf("%d: position %d of %d at node %d is at %.3f", m, i, len(positions), c, at)
 				}
 			}
 		}
 	}
 }
 
-// Turns come once a period, evenly, and never sooner than half of it; no more than their even number, and one, in any time.
-func TestTurnsAreEven(t *testing.T) {
+// Slots come once a period, evenly, and never sooner than half of it; no more than their even number, and one, in any time.
+func TestSlotsAreEven(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := rapid.IntRange(2, 1000).Draw(t, "coordinators")
 		wait := time.Duration(rapid.IntRange(1, 20000).Draw(t, "wait")) * time.Millisecond
@@ -214,14 +214,14 @@
 		salt := rapid.Uint64().Draw(t, "salt")
 		var at []time.Duration
 		for _, p := range fleet(m) {
-			turn := p.Seat().Turn(now, wait, salt)
-			if turn < now+wait/2 || turn > now+3*wait/2 {
-				t.Fatalf("%v waits %v, its turn is after %v", p, wait, turn-now)
+			slot := p.Position().NextSlot(now, wait, salt)
+			if slot < now+wait/2 || slot > now+3*wait/2 {
+				t.Fatalf("%v waits %v, its slot is after %v", p, wait, slot-now)
 			}
-			if again := p.Seat().Turn(turn, wait, salt); again < turn+wait/2 || again > turn+3*wait/2 {
-				t.Fatalf("%v: one turn after another by %v", p, again-turn)
+			if again := p.Position().NextSlot(slot, wait, salt); again < slot+wait/2 || again > slot+3*wait/2 {
+				t.Fatalf("%v: one slot after another by %v", p, again-slot)
 			}
-			at = append(at, turn)
+			at = append(at, slot)
 		}
 		slices.Sort(at)
 		for _, part := range []int{2, 5, 10} {
@@ -231,12 +231,12 @@
 					from++
 				}
 				if i-from+1 > m/part+3 {
-					t.Fatalf("%d of %d turns within 1/%d of the time", i-from+1, m, part)
+					t.Fatalf("%d of %d slots within 1/%d of the time", i-from+1, m, part)
 				}
 			}
 		}
 	})
-	if d := Spread(200, 25); d != 8*time.Second {
+	if d := SlotPeriod(200, 25); d != 8*time.Second {
 		t.Errorf("200 at 25 a second: %v", d)
 	}
 }
--- a/ring.go
+++ b/ring.go
@@ -303,8 +303,8 @@
 			rank = 0
 		}
 		r.key = a.subset.Key(r.Cell, rank)
-		if seat := a.subset.Seat(a.place(), r.key); !r.seated || seat != r.seat {
-			r.seat, r.seated, r.lot = seat, true, seat.Lot(subsetting.Salt(r.ID))
+		if position := a.subset.Position(a.place(), r.key); !r.positioned || position != r.position {
+			r.position, r.positioned, r.sequence = position, true, position.Sequence(subsetting.Salt(r.ID))
 		}
 	}
 }
--- a/state.go
+++ b/state.go
@@ -138,9 +138,9 @@
 	coldFrom   time.Duration // its last start, listed or inferred; 0 for long ago
 	coldTokens float64
 	coldAt     time.Duration
-	seat       subsetting.Seat // among the roots that keep it
-	seated     bool
-	lot        subsetting.Lot
+	position   subsetting.Position // among the roots that keep it
+	positioned bool
+	sequence   subsetting.Sequence
 }
 
 func newReplica(r Replica, classes int) *replica {
@@ -162,20 +162,20 @@
 
 type query struct {
 	QueryArrived
-	cls      *class
-	aim, end time.Duration
-	parts    []*part
-	step     int
-	floor    float64 // least share of the weight for an answer
-	weight   float64 // of the served parts of this step
-	whole    bool    // the first step's answer was whole
-	race     lots
-	luck     lots // with cold ones
-	admitted bool
-	late     bool
-	closed   bool
-	restNo   int           // the refill since which nothing has happened to it; below 0 for none
-	rest     time.Duration // and until when driving it then changes nothing
+	cls       *class
+	aim, end  time.Duration
+	parts     []*part
+	step      int
+	floor     float64 // least share of the weight for an answer
+	weight    float64 // of the served parts of this step
+	whole     bool    // the first step's answer was whole
+	raced     draws
+	coldDraws draws // whether cold ones may be used
+	admitted  bool
+	late      bool
+	closed    bool
+	restNo    int           // the refill since which nothing has happened to it; below 0 for none
+	rest      time.Duration // and until when driving it then changes nothing
 }
 
 type part struct {
@@ -208,14 +208,14 @@
 
 type call struct{ turn, parts, size int }
 
-// lots are what a query has drawn for replicas, once for each.
-type lots map[*replica]float64
+// draws are the numbers that a query has drawn for replicas, once for each.
+type draws map[*replica]float64
 
-func (l lots) draw(r *replica, from func() float64) float64 {
-	v, drawn := l[r]
+func (d draws) draw(r *replica, from func() float64) float64 {
+	v, drawn := d[r]
 	if !drawn {
 		v = from()
-		l[r] = v
+		d[r] = v
 	}
 	return v
 }
@@ -315,22 +315,22 @@
 	return subsetting.Place{Me: a.set.Me - 1, Of: a.set.Roots}
 }
 
-// lot draws a number for a cold replica: by this root's place, or at random where it has none.
-func (a *Aggregator) lot(r *replica) float64 {
+// drawCold draws a number for a cold replica: by this root's place, or at random where it has none.
+func (a *Aggregator) drawCold(r *replica) float64 {
 	if !a.place().Known() {
 		return a.rng.Float64()
 	}
-	return r.lot.Next(r.coldTokens)
+	return r.sequence.Next(r.coldTokens)
 }
 
-// trialTurn is when this root may try a suspect next, after a pause.
-func (a *Aggregator) trialTurn(r *replica, pause time.Duration) time.Duration {
+// nextTrial is when this root may try a suspect next, after a pause.
+func (a *Aggregator) nextTrial(r *replica, pause time.Duration) time.Duration {
 	pl := a.place()
 	if !pl.Known() {
 		return a.now + pause
 	}
-	pause = max(pause, subsetting.Spread(a.subset.Share*float64(pl.Of), trialRate))
-	return r.seat.Turn(a.now, pause, subsetting.Salt(r.ID))
+	pause = max(pause, subsetting.SlotPeriod(a.subset.Share*float64(pl.Of), trialRate))
+	return r.position.NextSlot(a.now, pause, subsetting.Salt(r.ID))
 }
 
 // keeps tells whether a replica takes part in the refill and this root sends to it.
