Pushed lists: a silent agent is noticed in time for drains, and never asked without a pause

What an agent holds counts as told at once, and the claims deployment lets nothing new go to a draining node 500 ms later. Watches at the agent waited as long as at discovery, 1 s and 0.5 s for the answer: by these sums one that stood when discovery went down, and was never answered, was noticed up to 1.5 s later. An agent that answers a watch at once instead of holding it was asked without any pause.

Watches at an agent last 0.2 s now, with 0.1 s for the answer, and an empty answer that comes early is followed by 50 ms. TestAgentIsHeardInTime on the code before: a drain heard of after 0.55 s behind a silent watch (the first case that fails), and after 1 s and 1,002 calls at an agent that holds none; it holds 0.4 s and 75 calls now. Watches at discovery itself wait as before.

--- a/internal/decide/backoff/told.go
+++ b/internal/decide/backoff/told.go
@@ -32,12 +32,38 @@
 )
 
 // Where lists are pushed, an agent of the coordinator's own has them; what it has counts as told at once. Nobody else waits
-// for it, so it is asked without a pause and answers without one.
+// for it, so it is asked without a pause and answers without one. It says nothing while discovery is down, also to a watch
+// that stands then: of what it has afterwards a coordinator hears at the latest AgentTold later, which is the sum of
+// agentHold, agentSilence and agentPause, and of agentAnswer and agentPause, with some time for the answer.
 const (
-	agentAnswer = Binds / 24
-	agentPause  = Binds / 120
+	agentHold    = Binds / 30
+	agentSilence = Binds / 60
+	agentAnswer  = Binds / 24
+	agentPause   = Binds / 120
+
+	// AgentTold is after what time a coordinator has what its agent holds.
+	AgentTold = Binds / 15
 )
 
+// Watch is how long a watch may wait for news, and how long after that one without a word has fallen silent.
+func (p *Pace) Watch() (hold, silence time.Duration) {
+	if p.Pushed {
+		return agentHold, agentSilence
+	}
+	return Hold, Silence
+}
+
+// Renew is how long to wait before a watch is renewed, after one that brought nothing and took so long. A service that does
+// not hold watches is not to be asked all the time; the pause is shorter than what ends a watch.
+func (p *Pace) Renew(took time.Duration) time.Duration {
+	if hold, _ := p.Watch(); took < hold/2 {
+		return renewPause
+	}
+	return 0
+}
+
+const renewPause = Binds / 120
+
 // Answer is how long to wait for a call that does not wait for news.
 func (p *Pace) Answer() time.Duration {
 	switch {
--- /dev/null
+++ b/internal/platform/agent_test.go
@@ -0,0 +1,94 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/decide/backoff"
+	"harepass/internal/standin"
+)
+
+// agent is what pushed lists come to: it answers at once with what it has, and says nothing while discovery is down, not to
+// those either that have asked before.
+type agent struct {
+	changed atomic.Bool // it holds the news that the node drains
+	down    atomic.Bool
+	holds   bool // watches, until there is something newer
+	calls   atomic.Int32
+}
+
+func (a *agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if a.calls.Add(1) > 1000 { // time stands still for a coordinator that asks without a pause
+		time.Sleep(time.Second)
+	}
+	hold, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
+	for end := time.Now().Add(time.Duration(hold) * time.Millisecond); a.holds && !a.changed.Load() && !a.down.Load() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if a.down.Load() {
+		<-r.Context().Done()
+		return
+	}
+	if a.changed.Load() && r.URL.Query().Get("from") != "8" {
+		io.WriteString(w, `{"index":8,"endpoints":[{"name":"a","address":"a:1","status":"terminating"}]}`)
+		return
+	}
+	fmt.Fprintf(w, `{"index":%d,"endpoints":[]}`, map[bool]int{true: 8, false: 7}[a.changed.Load()])
+}
+
+// What the agent holds counts as told at once, and a drain binds half a second later: a coordinator has it well before that,
+// though discovery was down and neither the watch that stood then nor a call made meanwhile is ever answered.
+func TestAgentIsHeardInTime(t *testing.T) {
+	for _, down := range []time.Duration{0, 5 * time.Millisecond, 3 * time.Second} {
+		for _, holds := range []bool{true, false} {
+			for i := range 20 {
+				synctest.Test(t, func(t *testing.T) {
+					var memory standin.Net
+					a := &agent{holds: holds}
+					served := &http.Server{Handler: a}
+					go served.Serve(memory.Listen("d"))
+					d := NewDiscovery("d", List{Index: 7, Endpoints: []Endpoint{{Name: "a", Address: "a:1", Status: "in_service"}}})
+					d.Dial = memory.Dial
+					d.Pace = &backoff.Pace{Fleet: 3, Pushed: true, Rand: rand.New(rand.NewPCG(1, 1))}
+					told := make(chan time.Time, 1)
+					d.Listed = func(_ harepass.ListScope, nodes []core.Node) {
+						if len(nodes) == 1 && nodes[0].State == harepass.Draining {
+							told <- time.Now()
+						}
+					}
+					ctx, cancel := context.WithCancel(context.Background())
+					done := make(chan struct{})
+					go func() { d.Run(ctx); close(done) }()
+					d.Subscribe()
+					time.Sleep(2*time.Second + time.Duration(i)*53*time.Millisecond)
+					if n := a.calls.Load(); n > 75 {
+						t.Errorf("%d calls in two to three seconds", n)
+					}
+					if down > 0 {
+						a.down.Store(true)
+						time.Sleep(down + time.Duration(i)*7*time.Millisecond)
+					}
+					a.changed.Store(true)
+					a.down.Store(false)
+					held := time.Now()
+					if took := (<-told).Sub(held); took > backoff.AgentTold {
+						t.Errorf("down for %v, holds watches: %t, %d: the drain was heard of after %v", down, holds, i, took)
+					}
+					cancel()
+					<-done
+					served.Close()
+				})
+			}
+		}
+	}
+}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -205,10 +205,11 @@
 func (d *Discovery) follow(ctx context.Context, c *http1.Client) (took time.Duration, err error) {
 	for watch := false; ; watch = true {
 		target, limit := "/registry/instances", d.Pace.Answer()
+		hold, silence := d.Pace.Watch()
 		switch {
 		case d.index == noIndex:
 		case watch: // renewed in time it costs no turn
-			target, limit = d.since(backoff.Hold), backoff.Hold+backoff.Silence
+			target, limit = d.since(hold), hold+silence
 		default: // so that its answer tells at once what is new, or that nothing is
 			target = d.since(time.Millisecond)
 		}
@@ -240,6 +241,24 @@
 		if changed || !watch { // else the owner has it, and knows that it is told of changes
 			d.Listed(scope, nodes)
 		}
+		if watch && !changed {
+			if err := rest(ctx, d.Pace.Renew(took)); err != nil {
+				return 0, err
+			}
+		}
+	}
+}
+
+// rest waits for a time, or until ctx ends.
+func rest(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
