Reload: a class that drops repeats has to say for how long, whatever other classes say

A reload is refused without a key that the file in force had; of a class's keys only those were looked at that all classes had. A keyed class beside others could lose dedup_window_us and was taken over with a window of 0, so that none of its parts was ever sent again.

Each entry now has to keep its own keys too, and a class that becomes keyed has to bring its window. The two new checks of TestWindowOfGuardedOnly fail on the code before.

--- a/internal/decide/reload/reload.go
+++ b/internal/decide/reload/reload.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -63,17 +64,14 @@
 }
 
 // Missing lists, in order, what next would have to hold because old does: each key outside the lists, and in each of
-// their entries the keys that all of old's had. Both are Named.
+// their entries the keys that all of old's had, and those that the entry itself had. Both are Named.
 func Missing(old, next map[string]string) (paths []string) {
-	has := func(list, name, key string) (string, bool) {
-		path := list + "[" + name + "]." + key
-		_, ok := next[path]
-		return path, ok
-	}
-	for list, keys := range common(old) {
-		for name := range entries(next)[list] {
-			for key := range keys {
-				if path, ok := has(list, name, key); !ok && (key != window || next[list+"["+name+"].repeat"] == guarded) {
+	shared := common(old)
+	for list, names := range entries(next) {
+		for name := range names {
+			for key := range required(list, name, shared[list], old, next) {
+				path := pathOf(list, name, key)
+				if _, ok := next[path]; !ok {
 					paths = append(paths, path)
 				}
 			}
@@ -90,6 +88,31 @@
 	return paths
 }
 
+// required is what an entry of next has to hold. A class has to say for how long its repeats are dropped if they are, and
+// only then.
+func required(list, name string, shared map[string]bool, old, next map[string]string) map[string]bool {
+	keys := maps.Clone(shared)
+	if keys == nil {
+		keys = map[string]bool{}
+	}
+	for path := range old {
+		if l, n, key, ok := entry(path); ok && l == list && n == name {
+			keys[key] = true
+		}
+	}
+	repeat := pathOf(list, name, "repeat")
+	switch {
+	case next[repeat] != guarded:
+		delete(keys, window)
+	case old[repeat] != guarded:
+		keys[window] = true
+	}
+	return keys
+}
+
+// pathOf is the named path of a key of a list's entry.
+func pathOf(list, name, key string) string { return list + "[" + name + "]." + key }
+
 // entries is, by list, the entries' names and how many keys each has.
 func entries(named map[string]string) map[string]map[string]int {
 	found := map[string]map[string]int{}
--- a/internal/decide/reload/reload_test.go
+++ b/internal/decide/reload/reload_test.go
@@ -61,4 +61,14 @@
 	if got := fmt.Sprint(Missing(Named(old), Named(next))); got != "[classes[a].dedup_window_us]" {
 		t.Errorf("missing %s", got)
 	}
+	// Also where classes that are not guarded say nothing of it, and where the class is guarded from now on.
+	old, next = classes("a", "b"), classes("a", "b")
+	next["classes.1.repeat"] = "guarded"
+	if got := fmt.Sprint(Missing(Named(old), Named(next))); got != "[classes[b].dedup_window_us]" {
+		t.Errorf("missing of a class that is guarded from now on: %s", got)
+	}
+	old["classes.1.repeat"], old["classes.1.dedup_window_us"] = "guarded", "5"
+	if got := fmt.Sprint(Missing(Named(old), Named(next))); got != "[classes[b].dedup_window_us]" {
+		t.Errorf("missing beside a class that is not guarded: %s", got)
+	}
 }
