--- /dev/null
+++ b/internal/rig/layout.go
@@ -0,0 +1,116 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+const askEvery = 10 * time.Second // where lists are asked for: when one that does not ask counts as told all the same
+
+// Overrides are values of the site's settings that a scenario has otherwise: by the object that they are in, then by key.
+type Overrides struct {
+	Caps   map[string]any     `yaml:"caps"`
+	Rules  map[string]any     `yaml:"rules"`
+	Need   map[string]float64 `yaml:"need"`   // by class: the share of the parts that makes a whole answer
+	Window map[string]int     `yaml:"window"` // by class: microseconds for which its repeats are dropped
+}
+
+// settings are the site's, as this scenario has them.
+func (s *Scenario) settings(data []byte) ([]byte, error) {
+	var all map[string]any
+	if err := json.Unmarshal(data, &all); err != nil {
+		return nil, err
+	}
+	object := func(name string) map[string]any {
+		o, _ := all[name].(map[string]any)
+		if o == nil {
+			o = map[string]any{}
+			all[name] = o
+		}
+		return o
+	}
+	family, rules, caps := object("family_info"), object("rules"), object("caps")
+	all["discovery"] = "push"
+	if !s.Push {
+		all["discovery"], rules["ask_every_us"] = "ask", askEvery.Microseconds()
+	}
+	family["positions"], family["reach"], family["shards"] = s.cells(), s.reach(), s.sections()
+	for key, value := range s.Overrides.Caps {
+		caps[key] = value
+	}
+	for key, value := range s.Overrides.Rules {
+		rules[key] = value
+	}
+	return s.Overrides.classes(all, family)
+}
+
+// classes sets what is said of single classes.
+func (o Overrides) classes(all, family map[string]any) ([]byte, error) {
+	classes, _ := all["classes"].([]any)
+	needs, _ := family["need_by_class"].([]any)
+	found := 0
+	for i, raw := range classes {
+		c, _ := raw.(map[string]any)
+		name, _ := c["name"].(string)
+		if need, set := o.Need[name]; set && i < len(needs) {
+			needs[i] = need
+			found++
+		}
+		if window, set := o.Window[name]; set {
+			c["dedup_window_us"] = window
+			found++
+		}
+	}
+	if found < len(o.Need)+len(o.Window) {
+		return nil, fmt.Errorf("rig: need %v or window %v is of no class", o.Need, o.Window)
+	}
+	return json.MarshalIndent(all, "", " ")
+}
+
+// cell is that of a node: a cell of its own, or that of its set.
+func (s *Scenario) cell(node int) int {
+	if len(s.Sets) == 0 {
+		return node
+	}
+	for set, size := range s.Sets {
+		if node -= size; node < 0 {
+			return set
+		}
+	}
+	return len(s.Sets)
+}
+
+func (s *Scenario) cells() int {
+	if len(s.Sets) == 0 {
+		return s.Nodes
+	}
+	return len(s.Sets)
+}
+
+func (s *Scenario) reach() int {
+	if len(s.Sets) == 0 {
+		return reach
+	}
+	return 1
+}
+
+// sections is how many there are.
+func (s *Scenario) sections() int {
+	if len(s.Sets) == 0 {
+		return s.Nodes
+	}
+	return setSection * len(s.Sets)
+}
+
+// holds tells whether a node holds a section.
+func (s *Scenario) holds(n *fleetNode, section int) bool {
+	return ((s.cell(n.no)-section)%s.cells()+s.cells())%s.cells() < s.reach()
+}
+
+func sum(list []int) (n int) {
+	for _, x := range list {
+		n += x
+	}
+	return n
+}
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -21,7 +21,10 @@
 	Clients      int           `yaml:"clients"` // of each coordinator
 	Work         time.Duration `yaml:"work"`    // that a part takes a node
 	Lasts        time.Duration `yaml:"lasts"`
-	Lost         int           `yaml:"lost"` // requests that may be heard and never answered, by coordinators that are killed
+	Sets         []int         `yaml:"sets"`     // where nodes form sets that hold the same sections: how many each has
+	Push         bool          `yaml:"push"`     // lists come to an agent of each coordinator's own
+	Overrides    Overrides     `yaml:"settings"` // that differ from the site's
+	Lost         int           `yaml:"lost"`     // requests that may be heard and never answered, by coordinators that are killed
 	Steps        []Step        `yaml:"steps"`
 }
 
@@ -83,6 +86,8 @@
 		return fmt.Errorf("nodes: %d; from %d to 60 can be", s.Nodes, reach)
 	case s.Clients < 1:
 		return fmt.Errorf("clients: %d; at least one has to ask", s.Clients)
+	case len(s.Sets) > 0 && sum(s.Sets) != s.Nodes:
+		return fmt.Errorf("sets: %v have %d nodes, not %d", s.Sets, sum(s.Sets), s.Nodes)
 	case s.Work <= 0:
 		return fmt.Errorf("work: %v; a part takes some time", s.Work)
 	}
