--- a/internal/rig/member.go
+++ b/internal/rig/member.go
@@ -37,7 +37,7 @@
 		return nil, err
 	}
 	for _, n := range f.nodes {
-		fleet := &standin.Fleet{Script: func(int, int) standin.Reply { return f.reply(n) }, Heard: func(id string, did standin.Kind) { f.records.part(m, n, id, did) }}
+		fleet := &standin.Fleet{Script: func(int, int) standin.Reply { return f.reply(n) }, Heard: func(part standin.Part, did standin.Kind) { f.records.part(m, n, part, did) }}
 		k, err := f.opened.serveBehindLink(NewFramedLink, fleet.Frames)
 		if err != nil {
 			return nil, err
@@ -66,14 +66,7 @@
 	if err := json.Unmarshal(f.Settings, &settings); err != nil {
 		return err
 	}
-	settings["balancers"], settings["me"], settings["discovery"] = m.knownSize, m.no, "ask"
-	family, _ := settings["family_info"].(map[string]any)
-	rules, _ := settings["rules"].(map[string]any)
-	if family == nil || rules == nil {
-		return errors.New("rig: the settings have no family_info or no rules")
-	}
-	family["positions"], family["reach"], family["shards"] = len(f.nodes), holdersPerSection, len(f.nodes)
-	rules["ask_every_us"] = 10_000_000
+	settings["balancers"], settings["me"] = m.knownSize, m.no
 	if customers, ok := settings["customers"].([]any); ok { // the crowd is within its share
 		for _, c := range customers {
 			c.(map[string]any)["quota_per_s"] = 100000
@@ -117,7 +110,7 @@
 	f.startupTimes = append(f.startupTimes, time.Since(m.startedAt))
 	f.mu.Unlock()
 	if m.crowd == nil {
-		m.crowd = newCrowd(f.Clients, m.listen, f.records.sent, f.question)
+		m.crowd = newCrowd(f.Clients, m.listen, f.site.tenant, f.records.sent, func(who, i int) question { return f.site.ask(who, i, f.sections()) })
 	}
 	return nil
 }
--- a/internal/rig/verdict.go
+++ b/internal/rig/verdict.go
@@ -35,8 +35,10 @@
 	}
 	f.records.mu.Lock()
 	defer f.records.mu.Unlock()
-	if len(f.records.runs) == 0 {
-		say("no hazard report was seen")
+	for _, c := range f.site.classes {
+		if !f.records.classes[c.name] {
+			say("no %s was seen", c.name)
+		}
 	}
 	for i, b := range f.records.breaches {
 		if i == breachesShown {
