--- a/internal/rig/crowd.go
+++ b/internal/rig/crowd.go
@@ -10,18 +10,18 @@
 )
 
 const (
-	reportPrefix = "h-"                    // of the ids of hazard reports
-	maxPause     = 20 * time.Millisecond   // of a client between two requests
-	budget       = 2900 * time.Millisecond // that requests state
-	giveUp       = 10 * time.Second        // with a connection that says nothing
-	maxTries     = 3                       // of a request that was turned back unheard
+	maxPause = 20 * time.Millisecond   // of a client between two requests
+	budget   = 2900 * time.Millisecond // that requests state
+	giveUp   = 10 * time.Second        // with a connection that says nothing
+	maxTries = 3                       // of a request that was turned back unheard
 )
 
 // Crowd are clients that keep their connections and ask all the time, each one request at a time.
 type Crowd struct {
 	address  string
+	tenant   string
 	sent     func(query string) bool // whether a node was asked for some part of it
-	question func(who, i int) (class string, sections []int)
+	question func(who, i int) question
 	stop     chan struct{}
 	wg       sync.WaitGroup
 
@@ -33,12 +33,22 @@
 
 // Crowd lets so many clients begin.
 func (h *Host) Crowd(n int) *Crowd {
-	return newCrowd(n, h.Clients.Addr().String(), h.Sent, func(_, i int) (string, []int) { return kinds[i%len(kinds)].class, kinds[i%len(kinds)].sections })
+	return newCrowd(n, h.Clients.Addr().String(), h.site.tenant, h.Sent, func(_, i int) question { return h.question(i) })
+}
+
+// question is the i-th question of each client: each class in turn, of one section, or of two far apart where an answer in
+// part will do.
+func (h *Host) question(i int) question {
+	c := h.site.classes[i%len(h.site.classes)]
+	if c.partial() {
+		return question{c, []int{0, 4}}
+	}
+	return question{c, []int{1}}
 }
 
 // newCrowd lets so many clients ask a coordinator at an address; sent tells whether a node was asked for some part of a query.
-func newCrowd(n int, address string, sent func(string) bool, question func(who, i int) (string, []int)) *Crowd {
-	c := &Crowd{address: address, sent: sent, question: question, stop: make(chan struct{}), tally: map[string]int{}}
+func newCrowd(n int, address, tenant string, sent func(string) bool, ask func(who, i int) question) *Crowd {
+	c := &Crowd{address: address, tenant: tenant, sent: sent, question: ask, stop: make(chan struct{}), tally: map[string]int{}}
 	for i := range n {
 		c.wg.Go(func() { c.client(i) })
 	}
@@ -79,12 +89,6 @@
 	c.tally[what]++
 }
 
-// kinds are the classes in turn, with sections for each.
-var kinds = []struct {
-	class    string
-	sections []int
-}{{"route-lookup", []int{1}}, {"hazard-report", []int{1}}, {"conditions-summary", []int{0, 4}}}
-
 // name makes a part of an id of an address: of all of it, since processes have loopback addresses of their own and may have
 // the same port.
 var name = strings.NewReplacer(".", "-", ":", "-")
@@ -99,14 +103,14 @@
 			return
 		case <-time.After(rand.N(maxPause)):
 		}
-		class, sections := c.question(who, i)
-		c.ask(client, fmt.Sprintf("%s-%s-%d-%d", class[:1], name.Replace(c.address), who, i), class, sections)
+		q := c.question(who, i)
+		c.ask(client, q.class.id(fmt.Sprintf("%s-%d-%d", name.Replace(c.address), who, i)), q)
 	}
 }
 
 // ask asks until there is an answer, as clients do: again only where the request was not heard.
-func (c *Crowd) ask(client *httpClient, id, class string, sections []int) {
-	text := request(id, class, sections)
+func (c *Crowd) ask(client *httpClient, id string, q question) {
+	text := q.request(id, c.tenant)
 	for range maxTries {
 		answer, status, err := client.roundTrip(text)
 		if err == nil {
@@ -114,7 +118,7 @@
 			if answer.twice {
 				c.count(OutcomeTwice)
 			}
-			if status == "200" && !answer.holds(sections) {
+			if status == "200" && !answer.holds(q) {
 				c.count(OutcomeUntrue)
 			}
 			return
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -13,8 +13,10 @@
 	"harepass/internal/standin"
 )
 
-// holdersPerSection is how many cells in a row hold a section.
-const holdersPerSection = 3
+const (
+	holdersPerSection = 3 // how many cells in a row hold a section, where nodes form no sets
+	sectionsPerSet    = 6 // that a set of nodes holds
+)
 
 // FleetConfig says what a Fleet is made of.
 type FleetConfig struct {
@@ -31,6 +33,7 @@
 	*Scenario
 	*Timeline
 
+	site     *site
 	registry standin.Registry
 	nodes    []*fleetNode
 	members  []*Member
@@ -51,18 +54,20 @@
 // begins with.
 func NewFleet(c FleetConfig, s *Scenario) (*Fleet, error) {
 	f := &Fleet{FleetConfig: c, Scenario: s, Timeline: newTimeline(), size: s.Coordinators}
-	f.records.open(f)
-	rules, err := readNodeRules(c.Settings)
-	if err != nil {
+	var err error
+	if f.Settings, err = s.settings(c.Settings); err != nil {
 		return nil, err
 	}
-	f.records.grace = rules.grace()
+	if f.site, err = readSite(f.Settings); err != nil {
+		return nil, err
+	}
+	f.records.open(f)
 	most := s.Coordinators
 	for _, st := range s.Steps {
 		most = max(most, st.Grow)
 	}
 	for i := range s.Nodes {
-		n := newFleetNode(i, s.Work, rules)
+		n := newFleetNode(i, s.cell(i), s.Work, f.site.rules)
 		f.nodes = append(f.nodes, n)
 		f.registry.Put(n.entry)
 	}
