--- a/internal/capacity/helper.go
+++ b/internal/capacity/helper.go
@@ -123,7 +123,7 @@
 		return err
 	}
 	defer l.Close()
-	go (&standin.Fleet{Heard: func(string, standin.Kind) {}, Script: func(shard, _ int) standin.Reply {
+	go (&standin.Fleet{Heard: func(standin.Part, standin.Kind) {}, Script: func(shard, _ int) standin.Reply {
 		return standin.Reply{After: time.Duration(5+shard*37%15) * time.Millisecond} // apart from each other
 	}}).Frames(l)
 	if _, err := fmt.Fprintln(out, l.Addr()); err != nil {
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -267,6 +267,9 @@
 	return over
 }
 
+// leastWorded is the least figure that a page words.
+const leastWorded = 0.001
+
 // number words a figure: three digits, with commas in thousands.
 func number(x float64) string {
 	switch {
@@ -278,6 +281,8 @@
 		return fmt.Sprintf("%.0f", x)
 	case math.Abs(x) >= 100:
 		return fmt.Sprintf("%.0f", x)
+	case math.Abs(x) < leastWorded:
+		return fmt.Sprintf("under %g", leastWorded)
 	}
 	return fmt.Sprintf("%.3g", x)
 }
