--- a/cmd/harepass/limits_test.go
+++ b/cmd/harepass/limits_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -33,10 +32,24 @@
 	discovery string
 	config    func(known []byte, discovery string)
 	nodes     []*standin.Fleet
-	mode      string // of discovery
+	mode      string                        // of discovery
+	adapt     func(settings map[string]any) // changes the example's settings; nil for none
 	list      func(version int, state func(node int) string) []byte
 }
 
+// settings are the example's, with what this process has otherwise.
+func (s *small) settings(t *testing.T, example []byte) map[string]any {
+	var settings map[string]any
+	if err := json.Unmarshal(example, &settings); err != nil {
+		t.Fatal(err)
+	}
+	settings["discovery"] = s.mode
+	if s.adapt != nil {
+		s.adapt(settings)
+	}
+	return settings
+}
+
 // apart finds an address that somebody can listen on later: not on the loopback address from which everybody's connections
 // come, where one of these might take the port meanwhile.
 func apart(t *testing.T) string {
@@ -77,7 +90,7 @@
 	s.config = func(known []byte, discovery string) {
 		data, err := json.Marshal(map[string]any{"name": "n1", "listen": s.native, "discovery": discovery, "seed": "1f",
 			"limits": map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": sockets}, "known": json.RawMessage(known),
-			"settings": json.RawMessage(bytes.Replace(settings, []byte(`"push"`), []byte(`"`+s.mode+`"`), 1))})
+			"settings": s.settings(t, settings)})
 		if err == nil {
 			err = os.WriteFile(path, data, 0o600)
 		}
--- a/internal/core/begin_test.go
+++ b/internal/core/begin_test.go
@@ -159,3 +159,33 @@
 		t.Error("the repeat is no longer held to its window, or lost its key")
 	}
 }
+
+// A second copy goes out while the first attempt still runs, with the same key.
+func TestSecondCopyHasTheKey(t *testing.T) {
+	r := two(t, func(c *Config) {
+		c.Settings.SecondCopies = true
+		c.Settings.Classes[0].Repeat, c.Settings.Classes[0].Window = harepass.Guarded, 4*time.Second
+	})
+	ask := func(key string) {
+		q := r.query("free", 0)
+		q.Keys = []string{key}
+		r.Submit(q)
+		r.pass(0)
+	}
+	for range 50 { // so that copies are within what is earned
+		ask("earlier")
+		r.hand.last().Begin()
+		r.Ended(r.hand.last(), harepass.Served, []byte("v"))
+		r.pass(5 * ms)
+	}
+	ask("key")
+	first, calls := r.hand.last(), len(r.hand.calls)
+	first.Begin()
+	r.pass(500 * ms)
+	if len(r.hand.calls) != calls+1 || first.ended || len(r.hand.abandoned) > 0 {
+		t.Fatalf("%d further calls, the first attempt ended: %t, %d given up", len(r.hand.calls)-calls, first.ended, len(r.hand.abandoned))
+	}
+	if second := r.hand.last(); first.Key != "key" || second.Key != "key" || second.Node == first.Node || !second.Begin() {
+		t.Errorf("the copy has the key %q at %s, the first attempt %q at %s", second.Key, second.Node, first.Key, first.Node)
+	}
+}
