--- a/internal/decide/backoff/told.go
+++ b/internal/decide/backoff/told.go
@@ -46,7 +46,7 @@
 )
 
 // Watch is how long a watch may wait for news, and how long after that one without a word has fallen silent.
-func (p *Pace) Watch() (hold, silence time.Duration) {
+func (p *Schedule) Watch() (hold, silence time.Duration) {
 	if p.Pushed {
 		return agentHold, agentSilence
 	}
@@ -55,7 +55,7 @@
 
 // Renew is how long to wait before a watch is renewed, after one that brought nothing and took so long. A service that does
 // not hold watches is not to be asked all the time; the pause is shorter than what ends a watch.
-func (p *Pace) Renew(took time.Duration) time.Duration {
+func (p *Schedule) Renew(took time.Duration) time.Duration {
 	if hold, _ := p.Watch(); took < hold/2 {
 		return renewPause
 	}
@@ -65,7 +65,7 @@
 const renewPause = Binds / 120
 
 // Answer is how long to wait for a call that does not wait for news.
-func (p *Pace) Answer() time.Duration {
+func (p *Schedule) Answer() time.Duration {
 	switch {
 	case p.Pushed:
 		return agentAnswer
@@ -76,7 +76,7 @@
 }
 
 // spread is the most time over which a fleet asks that lost discovery together.
-func (p *Pace) spread() time.Duration {
+func (p *Schedule) spread() time.Duration {
 	if p.moved {
 		return movedSpread
 	}
--- a/internal/rig/layout.go
+++ b/internal/rig/layout.go
@@ -90,7 +90,7 @@
 
 func (s *Scenario) reach() int {
 	if len(s.Sets) == 0 {
-		return reach
+		return holdersPerSection
 	}
 	return 1
 }
@@ -100,7 +100,7 @@
 	if len(s.Sets) == 0 {
 		return s.Nodes
 	}
-	return setSection * len(s.Sets)
+	return sectionsPerSet * len(s.Sets)
 }
 
 // holds tells whether a node holds a section.
--- a/internal/rig/site.go
+++ b/internal/rig/site.go
@@ -5,15 +5,13 @@
 	"errors"
 	"fmt"
 	"strings"
-	"time"
 )
 
 // site is what a deployment's settings say that clients ask by and records are held against.
 type site struct {
 	classes []class
 	tenant  string // of all clients
-	grace   time.Duration
-	cold    coldRule
+	rules   nodeRules
 }
 
 // class is one class of query.
@@ -24,16 +22,6 @@
 	floor  float64 // the least share of any answer
 }
 
-// coldRule is how a node that has just started gets its capacity, and what makes it fall.
-type coldRule struct {
-	start    float64
-	warm     time.Duration
-	multiple float64
-	window   time.Duration
-}
-
-const defaultGrace = time.Second // where the settings say nothing of draining nodes
-
 // readSite reads the settings as they are written for a program.
 func readSite(settings []byte) (*site, error) {
 	var raw struct {
@@ -48,13 +36,7 @@
 			Need  []float64 `json:"need_by_class"`
 			Floor []float64 `json:"floor_by_class"`
 		} `json:"family_info"`
-		Rules struct {
-			Start  float64 `json:"start_capacity"`
-			Warm   int64   `json:"warm_within_us"`
-			Fall   float64 `json:"fall_multiple"`
-			Window int64   `json:"fall_us"`
-			Grace  int64   `json:"stop_sending_within_us"`
-		} `json:"rules"`
+		Rules nodeRules `json:"rules"`
 	}
 	if err := json.Unmarshal(settings, &raw); err != nil {
 		return nil, err
@@ -62,19 +44,13 @@
 	if len(raw.Classes) == 0 || len(raw.Customers) == 0 {
 		return nil, errors.New("rig: the settings have no classes or no customers")
 	}
-	s := &site{tenant: raw.Customers[0].Name, grace: micros(raw.Rules.Grace),
-		cold: coldRule{raw.Rules.Start, micros(raw.Rules.Warm), raw.Rules.Fall, micros(raw.Rules.Window)}}
-	if s.grace == 0 {
-		s.grace = defaultGrace
-	}
+	s := &site{tenant: raw.Customers[0].Name, rules: raw.Rules}
 	for i, c := range raw.Classes {
 		s.classes = append(s.classes, class{c.Name, c.Repeat, item(raw.Family.Need, i), item(raw.Family.Floor, i)})
 	}
 	return s, nil
 }
 
-func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
-
 // item is an entry of a list of shares; all where the list is shorter.
 func item(list []float64, i int) float64 {
 	if i < len(list) {
@@ -153,3 +129,14 @@
 	}
 	return list
 }
+
+// summary asks for all sections, in a class of which less may make an answer if there is one.
+func (s *site) summary(sections int) question {
+	q := question{class: s.classes[0], sections: upTo(sections)}
+	for _, c := range s.classes {
+		if c.partial() {
+			q.class = c
+		}
+	}
+	return q
+}
