--- a/internal/platform/agent_test.go
+++ b/internal/platform/agent_test.go
@@ -59,7 +59,7 @@
 					go served.Serve(memory.Listen("d"))
 					d := NewDiscovery("d", List{Index: 7, Endpoints: []Endpoint{{Name: "a", Address: "a:1", Status: "in_service"}}})
 					d.Dial = memory.Dial
-					d.Pace = &backoff.Pace{Fleet: 3, Pushed: true, Rand: rand.New(rand.NewPCG(1, 1))}
+					d.Schedule = &backoff.Schedule{Fleet: 3, Pushed: true, Rand: rand.New(rand.NewPCG(1, 1))}
 					told := make(chan time.Time, 1)
 					d.Listed = func(_ harepass.ListScope, nodes []core.Node) {
 						if len(nodes) == 1 && nodes[0].State == harepass.Draining {
