--- a/cmd/lab/experiments.go
+++ b/cmd/lab/experiments.go
@@ -2,6 +2,7 @@
 
 import (
 	"harepass/internal/lab"
+	"harepass/internal/lab/experiments/capacity"
 	"harepass/internal/lab/experiments/choices"
 	"harepass/internal/lab/experiments/handover"
 	"harepass/internal/lab/experiments/overload"
@@ -14,4 +15,5 @@
 	choices.Experiment,
 	handover.Experiment,
 	overload.Experiment,
+	capacity.Experiment,
 }
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -11,8 +11,10 @@
 
 	"github.com/spf13/cobra"
 
+	"harepass/internal/capacity"
 	"harepass/internal/lab"
 	"harepass/internal/lab/coordinator"
+	labcapacity "harepass/internal/lab/experiments/capacity"
 	"harepass/internal/loadgen"
 	"harepass/internal/loadreport"
 	"harepass/internal/logview"
@@ -34,7 +36,8 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Emulated map nodes, and experiments on the coordinator",
 		SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(runCommand(), nodesCommand(), mountainCommand(), loadCommand(), reportCommand(), logsCommand(), upgradesCommand(), fleetCommand(), coordinatorCommand())
+	c.AddCommand(runCommand(), nodesCommand(), mountainCommand(), loadCommand(), reportCommand(), logsCommand(), upgradesCommand(), fleetCommand(), coordinatorCommand(),
+		capacityHelperCommand(), capacityPageCommand())
 	return c
 }
 
@@ -170,3 +173,19 @@
 			return coordinator.Serve(cmd.InOrStdin(), cmd.OutOrStdout())
 		}}
 }
+
+func capacityHelperCommand() *cobra.Command {
+	return &cobra.Command{Use: labcapacity.HelperCommand, Hidden: true, Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return capacity.Help(args, cmd.InOrStdin(), cmd.OutOrStdout())
+		}}
+}
+
+func capacityPageCommand() *cobra.Command {
+	var page, runs string
+	c := &cobra.Command{Use: "capacity-page", Short: "Makes the tables and plots of the capacity page anew from the runs beside it", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return capacity.RewriteFile(page, runs) }}
+	c.Flags().StringVar(&page, "page", "docs/CAPACITY.md", "the page")
+	c.Flags().StringVar(&runs, "runs", "docs/capacity", "folder of the runs")
+	return c
+}
--- a/internal/decide/sources/sources_test.go
+++ b/internal/decide/sources/sources_test.go
@@ -109,11 +109,13 @@
 					t.Fatalf("from %s it would return to %s", current.Address, nearer.Address)
 				}
 				if rapid.Bool().Draw(t, "fit") {
-					s.Return(now)
-					if got, _ := s.Current(); got != nearer {
+					if got, _ := s.Current(); !s.Return(nearer) || got == nearer {
+						t.Fatalf("it does not return from %s to %s", got.Address, nearer.Address)
+					}
+					if got, _ := s.Current(); got != nearer || s.Return(nearer) {
 						t.Fatalf("it follows %s, not %s", got.Address, nearer.Address)
 					}
-				} else if s.Stay(now, Failed); s.current == none {
+				} else if s.Stay(now, nearer, Failed); s.current == none {
 					t.Fatal("it has no source though it stays")
 				}
 			}
@@ -149,11 +151,11 @@
 // A busy source is waited for, though there is one farther away; not for ever.
 func TestBusy(t *testing.T) {
 	s, now := New(own, list()[1:3], random(1)), time.Duration(0)
-	for now < patience {
+	for range patience {
 		if source := next(t, s, &now); source.Address != "zone:1" {
 			t.Fatalf("%s at %v", source.Address, now)
 		}
-		s.Busy(now, 400*ms)
+		s.Busy(now, 9*sec)
 	}
 	if source, wait := s.Next(now); wait != 0 || source.Address != "region:1" {
 		t.Errorf("%s, wait %v after %v", source.Address, wait, now)
@@ -175,13 +177,14 @@
 		for {
 			now += 100 * ms
 			s.Served(now)
-			if _, ok := s.Nearer(now); !ok {
+			nearer, ok := s.Nearer(now)
+			if !ok {
 				continue
 			}
 			if now >= back {
 				break
 			}
-			s.Stay(now, Failed)
+			s.Stay(now, nearer, Failed)
 		}
 		if now > back+pauses[Failed].most+returnSpread+100*ms {
 			t.Errorf("seed %d returns %v late", seed, now-back)
