--- a/ring.go
+++ b/ring.go
@@ -146,6 +146,7 @@
 	if moved {
 		a.ring.remove(r)
 	}
+	a.apart = a.apart || was.Cell != e.Cell
 	r.Replica = e
 	if moved {
 		a.ring.add(r)
@@ -255,6 +256,7 @@
 	for _, r := range a.replicas {
 		r.siblings = a.ring.neighbours(r)
 	}
+	a.apart = false
 }
 
 // reform makes the ring that of the settings.
@@ -262,7 +264,7 @@
 	if a.ring.size == a.set.Cells && a.ring.reach == a.set.Reach {
 		return
 	}
-	a.ring = newRing(a.set.Cells, a.set.Reach)
+	a.ring, a.apart = newRing(a.set.Cells, a.set.Reach), true
 	for _, r := range a.replicas {
 		a.ring.add(r)
 	}
--- a/settings.go
+++ b/settings.go
@@ -44,6 +44,26 @@
 	for i, k := range a.classes {
 		k.idx, k.most = i, min(k.most, s.MaxAttempts)
 	}
+	if !inPlace(from, len(before)) {
+		a.reorderByClass(from)
+	}
+	if a.apart {
+		a.relateAll()
+	}
+}
+
+// inPlace tells whether each of n entries stays where it was and none is new.
+func inPlace(from []int, n int) bool {
+	for i, was := range from {
+		if was != i {
+			return false
+		}
+	}
+	return len(from) == n
+}
+
+// reorderByClass gives all lists by class a new order.
+func (a *Aggregator) reorderByClass(from []int) {
 	for _, r := range a.replicas {
 		r.faults, r.barred = reorder(r.faults, from), reorder(r.barred, from)
 		r.okAt, r.lostAt = reorder(r.okAt, from), reorder(r.lostAt, from)
@@ -51,7 +71,6 @@
 	for _, h := range a.shards {
 		h.counts, h.rates, h.shares = reorder(h.counts, from), reorder(h.rates, from), reorder(h.shares, from)
 	}
-	a.relateAll()
 }
 
 // reorder gives a list by class in a new order.
--- a/settings_test.go
+++ b/settings_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 )
 
 // What is learned of replicas and classes outlives a change of settings, under the classes' new places; what a vanished
@@ -70,3 +72,36 @@
 		t.Errorf("%v; a lower limit holds for all, and the class goes on", err)
 	}
 }
+
+// Settings that leave the classes and the ring as they are cost the same whatever the list's length: nothing is made anew by
+// replica. A replica that has moved to another cell gets its new siblings with the next settings all the same.
+func TestConfigureCostsWhatItChanges(t *testing.T) {
+	const cells = 10
+	var allocations []float64
+	for _, nodes := range []int{60, 600} {
+		s := newSteady(t, 5, cells, false)
+		var list []Replica
+		for i := range nodes {
+			list = append(list, Replica{ID: fmt.Sprint("more", i), Cell: i % cells})
+		}
+		s.a.Step(s.now, []Event{ListReceived{Scope: ListChanges, Replicas: list}})
+		set := s.a.set
+		configure := func() {
+			set.RetryAdvice += time.Microsecond
+			if err := s.a.Configure(set); err != nil {
+				t.Fatal(err)
+			}
+		}
+		configure()
+		allocations = append(allocations, testing.AllocsPerRun(10, configure))
+		moved := s.a.byID["more1"]
+		s.a.Step(s.now, []Event{ListReceived{Scope: ListChanges, Replicas: []Replica{{ID: "more1", Cell: 6}}}})
+		configure()
+		if want := s.a.ring.neighbours(moved); !slices.Equal(moved.siblings, want) || !slices.Contains(want, s.a.byID["more7"]) {
+			t.Errorf("of %d nodes one that moved has %d siblings, want %d", nodes, len(moved.siblings), len(want))
+		}
+	}
+	if allocations[0] != allocations[1] {
+		t.Errorf("the same settings again take %v allocations with 60 nodes, %v with 600", allocations[0], allocations[1])
+	}
+}
--- a/state.go
+++ b/state.go
@@ -24,6 +24,7 @@
 	replicas []*replica // in order of first listing
 	byID     map[string]*replica
 	ring     ring
+	apart    bool       // siblings are not what the ring says
 	lastNo   int        // of a replica
 	lists    int        // so many were received
 	running  int        // replicas listed as such
