--- a/cmd/harepass/main_test.go
+++ b/cmd/harepass/main_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -23,12 +24,19 @@
 	"harepass/internal/http1"
 	"harepass/internal/platform"
 	"harepass/internal/rig"
+	"harepass/internal/scale"
 	"harepass/internal/standin"
 )
 
-// TestMain lets the test binary be the program, for tests on real sockets and signals.
+// TestMain lets the test binary be the program, for tests on real sockets and signals, or a host of hollow coordinators.
 func TestMain(m *testing.M) {
 	if os.Getenv("HAREPASS_TEST_RUN") == "1" {
+		if len(os.Args) > 1 && os.Args[1] == scale.HollowCommand {
+			if err := scale.RunHost(context.Background(), os.Stdin, os.Stdout); err != nil {
+				log.Fatal(err)
+			}
+			return
+		}
 		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
--- /dev/null
+++ b/cmd/harepass/scale_test.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"harepass/internal/scale"
+)
+
+// playPlan plays a plan with real processes of this test binary.
+func playPlan(t *testing.T, ctx context.Context, plan *scale.Plan, log io.Writer) (*scale.Result, error) {
+	t.Helper()
+	settings, err := os.ReadFile("../../deploy/settings.example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := []string{os.Args[0]}
+	return scale.Run(ctx, plan, scale.Config{Dir: t.TempDir(), Program: self, Lab: self, Env: []string{"HAREPASS_TEST_RUN=1"}, Settings: settings, Log: log})
+}
+
+// The scale run at small size: real coordinators, relays and an authority beside hollow coordinators, through a killed relay,
+// a region that is cut off and a zone that goes. Every change reaches every member, and no rule is broken.
+func TestScaleRun(t *testing.T) {
+	plan, err := scale.Load("../../internal/scale/plans/small.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var log strings.Builder
+	result, err := playPlan(t, t.Context(), plan, &log)
+	if err != nil {
+		t.Fatalf("%v: %+v\n%s", err, result, log.String())
+	}
+	if len(result.Missed) > 0 || result.List.Never+result.Settings.Never > 0 {
+		t.Errorf("missed %q, list %+v, settings %+v", result.Missed, result.List, result.Settings)
+	}
+	if result.Started.Samples != plan.Coordinators || result.List.Changes == 0 || result.List.Samples != result.List.Changes*plan.Coordinators {
+		t.Errorf("of %d members: started %+v, list %+v", plan.Coordinators, result.Started, result.List)
+	}
+	for _, trouble := range result.Troubles {
+		if trouble.Recovered.Samples != plan.Coordinators || trouble.Recovered.Never > 0 {
+			t.Errorf("%s: %+v", trouble.What, trouble.Recovered)
+		}
+	}
+	if len(result.Troubles) != len(plan.Troubles) || result.Parts == 0 || result.Requests["200"] == 0 {
+		t.Errorf("%d troubles, %d parts, requests %v", len(result.Troubles), result.Parts, result.Requests)
+	}
+}
+
+// canceller cancels a run once its log has a line.
+type canceller struct {
+	line   string
+	cancel func()
+}
+
+// Write implements io.Writer.
+func (c canceller) Write(p []byte) (int, error) {
+	if strings.Contains(string(p), c.line) {
+		c.cancel()
+	}
+	return len(p), nil
+}
+
+// A run that is interrupted amid its changes ends all that it has started.
+func TestScaleRunEndsItsProcesses(t *testing.T) {
+	plan, err := scale.Load("../../internal/scale/plans/small.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	if _, err := playPlan(t, ctx, plan, canceller{"trouble: ", cancel}); !errors.Is(err, context.Canceled) {
+		t.Errorf("an interrupted run ends with %v", err)
+	}
+	lists, err := filepath.Glob("/proc/self/task/*/children")
+	if err != nil || len(lists) == 0 {
+		t.Fatalf("the system lists no children: %v", err)
+	}
+	for _, list := range lists {
+		if children, _ := os.ReadFile(list); len(children) > 0 {
+			t.Errorf("processes %s still run", children)
+		}
+	}
+}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -21,12 +21,13 @@
 	"harepass/internal/mountain"
 	"harepass/internal/nodeserver"
 	"harepass/internal/rigplay"
+	"harepass/internal/scale"
 )
 
 func main() {
 	if err := root().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "lab:", err)
-		if errors.Is(err, lab.ErrMissed) {
+		if errors.Is(err, lab.ErrMissed) || errors.Is(err, scale.ErrMissed) {
 			os.Exit(1)
 		}
 		os.Exit(2)
@@ -37,7 +38,7 @@
 	c := &cobra.Command{Use: "lab", Short: "Emulated map nodes, and experiments on the coordinator",
 		SilenceUsage: true, SilenceErrors: true}
 	c.AddCommand(runCommand(), nodesCommand(), mountainCommand(), loadCommand(), reportCommand(), logsCommand(), upgradesCommand(), fleetCommand(), coordinatorCommand(),
-		capacityHelperCommand(), capacityPageCommand())
+		capacityHelperCommand(), capacityPageCommand(), scaleCommand(), hollowCommand())
 	return c
 }
 
--- /dev/null
+++ b/cmd/lab/scale.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"harepass/internal/scale"
+)
+
+// scaleCommand plays a plan of a large fleet.
+func scaleCommand() *cobra.Command {
+	var program, settings, out, keep string
+	c := &cobra.Command{Use: "scale PLAN.yaml", Short: "Plays a large fleet on this machine, real and hollow coordinators with relays between; see internal/scale/plans",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			plan, err := scale.Load(args[0])
+			if err != nil {
+				return err
+			}
+			config, remove, err := scaleConfig(program, settings, keep)
+			if err != nil {
+				return err
+			}
+			defer remove()
+			config.Log = cmd.ErrOrStderr()
+			result, err := scale.Run(ctx, plan, config)
+			if result == nil || err != nil && !errors.Is(err, scale.ErrMissed) {
+				return err
+			}
+			if out != "" {
+				err = errors.Join(err, result.Write(out))
+			}
+			return errors.Join(err, result.Print(cmd.OutOrStdout()))
+		}}
+	c.Flags().StringVar(&program, "program", "bin/harepass", "the built program")
+	c.Flags().StringVar(&settings, "settings", "deploy/settings.example.json", "file of the site's settings")
+	c.Flags().StringVarP(&out, "out", "o", "", "file for the result as JSON")
+	c.Flags().StringVar(&keep, "keep", "", "folder for configurations and logs; a temporary one if empty")
+	return c
+}
+
+// scaleConfig finds what a run is made of; remove ends its temporary folder.
+func scaleConfig(program, settings, keep string) (c scale.Config, remove func(), err error) {
+	remove = func() {}
+	if c.Settings, err = os.ReadFile(settings); err != nil {
+		return c, remove, err
+	}
+	if program, err = filepath.Abs(program); err != nil {
+		return c, remove, err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return c, remove, err
+	}
+	c.Program, c.Lab, c.Dir = []string{program}, []string{self}, keep
+	if keep != "" {
+		return c, remove, os.MkdirAll(keep, 0o700)
+	}
+	if c.Dir, err = os.MkdirTemp("", "scale"); err == nil {
+		remove = func() { os.RemoveAll(c.Dir) }
+	}
+	return c, remove, err
+}
+
+// hollowCommand runs hollow coordinators for a run.
+func hollowCommand() *cobra.Command {
+	return &cobra.Command{Use: scale.HollowCommand, Hidden: true, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
+		defer stop()
+		return scale.RunHost(ctx, cmd.InOrStdin(), cmd.OutOrStdout())
+	}}
+}
--- /dev/null
+++ b/internal/scale/follow.go
@@ -0,0 +1,88 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/decide/sources"
+	"harepass/internal/decide/versionlog"
+	"harepass/internal/distribution"
+	"harepass/internal/platform"
+	"harepass/internal/wire"
+)
+
+// follower is what a member follows a resource with; apply takes what changes.
+func (m *hollow) follower(resource distribution.Resource, check func([]versionlog.Entry) error, apply func(distribution.Update)) *distribution.Follower {
+	cfg := distribution.Config{Resource: resource, Own: sources.Place{Zone: m.Zone, Region: m.Region}, Check: check, Apply: apply,
+		Hold: m.Hold, Dial: m.host.dial, Rand: rand.New(rand.NewPCG(uint64(m.No), uint64(len(resource))))}
+	for _, s := range m.Sources {
+		cfg.Sources = append(cfg.Sources, sources.Source{Address: s.Address, Place: sources.Place{Zone: s.Zone, Region: s.Region}})
+	}
+	return distribution.New(cfg)
+}
+
+// followList follows the list as a coordinator does, and hands it to the module where there is one.
+func (m *hollow) followList(ctx context.Context) {
+	nodes := platform.NewDistributed(platform.List{})
+	nodes.Listed = func(scope harepass.ListScope, list []core.Node) {
+		if m.owner != nil {
+			m.owner.Listed(platform.Source, scope, list)
+		}
+	}
+	nodes.Part = func(list []core.Node) {
+		if m.owner != nil {
+			m.owner.ListedPart(platform.Source, list)
+		}
+	}
+	m.follower(distribution.Instances, nodes.Check, func(u distribution.Update) {
+		nodes.Apply(u)
+		m.record(List, u, 0, false)
+	}).Run(ctx)
+}
+
+// followSettings follows the settings: taken over whole by the module, or refused whole.
+func (m *hollow) followSettings(ctx context.Context) {
+	m.follower(distribution.Settings, nil, func(u distribution.Update) {
+		for _, e := range u.Entries {
+			if number, half, ok := m.configure(e); ok {
+				m.record(Settings, u, number, half)
+			}
+		}
+	}).Run(ctx)
+}
+
+// readSettings reads a version of the settings.
+func readSettings(e versionlog.Entry) (harepass.Settings, wire.Limits, error) {
+	var entry struct {
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(e.Body, &entry); err != nil {
+		return harepass.Settings{}, wire.Limits{}, err
+	}
+	return wire.JSONSettings(entry.Settings)
+}
+
+// configure takes a version of the settings over; ok is false where it is refused.
+func (m *hollow) configure(e versionlog.Entry) (number int64, half, ok bool) {
+	settings, caps, err := readSettings(e)
+	if err != nil {
+		return 0, false, false
+	}
+	settings.Roots, settings.Me, settings.Subscribe = m.Fleet, m.No+1, true
+	if m.owner != nil && m.owner.Configure(settings, core.Limits{Open: caps.Open, Shards: caps.Shards}) != nil {
+		return 0, false, false
+	}
+	number, whole := numberOf(settings.RetryAdvice, caps.KeepAlive)
+	return number, !whole, true
+}
+
+// record notes what is in force. A reader in the middle of several slices is not whole: what has moved to later indexes is
+// still to come.
+func (m *hollow) record(resource Resource, u distribution.Update, number int64, half bool) {
+	m.host.record(Taken{Member: m.Name, Resource: resource, Epoch: u.Slice.Version.Epoch, Index: u.Slice.Version.Index, Mark: number,
+		At: time.Now(), Whole: u.Whole, Half: half})
+}
--- /dev/null
+++ b/internal/scale/network.go
@@ -0,0 +1,124 @@
+package scale
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"harepass/internal/rig"
+)
+
+// network is the ways between regions: one link for each region and each server outside of it, or for all of them where
+// the plan says so.
+type network struct {
+	plan *Plan
+
+	mu    sync.Mutex
+	links []*way
+}
+
+// way leads from a region to a server.
+type way struct {
+	*rig.Link
+	from, to int // regions
+}
+
+// to gives the address at which a server can be reached from a region.
+func (n *network) to(from, region int, address string) (string, error) {
+	if from == region && !n.plan.Links.All {
+		return address, nil
+	}
+	link, err := rig.NewLink(address)
+	if err != nil {
+		return "", err
+	}
+	if from != region {
+		link.Delay(n.plan.Links.Delay)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links = append(n.links, &way{link, from, region})
+	return link.Address(), nil
+}
+
+// between lists the links that leave a region or lead into it.
+func (n *network) between(region int) (some []*way) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, w := range n.links {
+		if w.from != w.to && (w.from == region || w.to == region) {
+			some = append(some, w)
+		}
+	}
+	return some
+}
+
+// cut holds what goes between a region and all others; one-sided, only what goes into it.
+func (n *network) cut(region int, oneSided bool) {
+	for _, w := range n.between(region) {
+		into := rig.There
+		if w.from == region {
+			into = rig.Back
+		}
+		w.Cut(into, true)
+		if !oneSided {
+			w.Cut(1-into, true)
+		}
+	}
+}
+
+// heal ends a cut. Connections that stood through it break, as they do once a machine is back that has been away.
+func (n *network) heal(region int) {
+	for _, w := range n.between(region) {
+		w.Cut(rig.There, false)
+		w.Cut(rig.Back, false)
+		w.Reset()
+	}
+}
+
+// lose holds up or breaks links between regions as the plan says, until ctx ends.
+func (n *network) lose(ctx context.Context, rng *rand.Rand, cutOff func(region int) bool) {
+	loss := n.plan.Links.Loss
+	if loss.Every <= 0 {
+		return
+	}
+	for {
+		select {
+		case <-time.After(loss.Every):
+		case <-ctx.Done():
+			return
+		}
+		n.mu.Lock()
+		links := slices.Clone(n.links)
+		n.mu.Unlock()
+		if len(links) == 0 {
+			return
+		}
+		w := links[rng.IntN(len(links))]
+		if w.from == w.to || cutOff(w.from) || cutOff(w.to) {
+			continue
+		}
+		if rng.Float64() < loss.Resets {
+			w.Reset()
+			continue
+		}
+		direction := rig.Direction(rng.IntN(2))
+		w.Cut(direction, true)
+		time.AfterFunc(loss.Hold, func() {
+			if !cutOff(w.from) && !cutOff(w.to) {
+				w.Cut(direction, false)
+			}
+		})
+	}
+}
+
+// close ends all links.
+func (n *network) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, w := range n.links {
+		w.Close()
+	}
+}
--- /dev/null
+++ b/internal/scale/records.go
@@ -0,0 +1,96 @@
+package scale
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Taken is a member's own record of a version that it has in force.
+type Taken struct {
+	Member   string
+	Resource Resource
+	Epoch    int64
+	Index    int64
+	Mark     int64 // of the newest change that it has seen; 0 where that is not told
+	At       time.Time
+	Whole    bool // nothing of the version is still to come
+	Half     bool // the settings are not all of one version
+}
+
+// before tells whether t is an older version than o.
+func (t Taken) before(o Taken) bool {
+	return t.Epoch < o.Epoch || t.Epoch == o.Epoch && t.Index < o.Index
+}
+
+// write words a record as one line.
+func (t Taken) write(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "%s %s %d %d %d %d %t %t\n", t.Member, t.Resource, t.Epoch, t.Index, t.Mark, t.At.UnixNano(), t.Whole, t.Half)
+	return err
+}
+
+// parseTaken reads a line of write.
+func parseTaken(line string) (t Taken, err error) {
+	var nanos int64
+	_, err = fmt.Sscan(line, &t.Member, &t.Resource, &t.Epoch, &t.Index, &t.Mark, &nanos, &t.Whole, &t.Half)
+	t.At = time.Unix(0, nanos)
+	return t, err
+}
+
+// records are those of all members, in the order in which each made them.
+type records struct {
+	mu     sync.Mutex
+	lists  map[string]map[Resource][]Taken // by member
+	strays []string                        // lines that are none
+}
+
+func newRecords() *records { return &records{lists: map[string]map[Resource][]Taken{}} }
+
+func (r *records) add(t Taken) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lists[t.Member] == nil {
+		r.lists[t.Member] = map[Resource][]Taken{}
+	}
+	r.lists[t.Member][t.Resource] = append(r.lists[t.Member][t.Resource], t)
+}
+
+// read takes lines until the reader ends; passed hears of the bytes that a host has counted.
+func (r *records) read(in io.Reader, passed func(read, written int64)) {
+	lines := bufio.NewScanner(in)
+	for lines.Scan() {
+		if rest, isBytes := strings.CutPrefix(lines.Text(), bytesLine); isBytes {
+			var read, written int64
+			fmt.Sscan(rest, &read, &written)
+			passed(read, written)
+			continue
+		}
+		t, err := parseTaken(lines.Text())
+		if err != nil {
+			r.mu.Lock()
+			r.strays = append(r.strays, lines.Text())
+			r.mu.Unlock()
+			continue
+		}
+		r.add(t)
+	}
+}
+
+// of is what a member has recorded of a resource so far; it may be read while more comes.
+func (r *records) of(member string, resource Resource) []Taken {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lists[member][resource]
+}
+
+// latest is a member's last record of a resource, if it has one.
+func (r *records) latest(member string, resource Resource) (Taken, bool) {
+	list := r.of(member, resource)
+	if len(list) == 0 {
+		return Taken{}, false
+	}
+	return list[len(list)-1], true
+}
--- /dev/null
+++ b/internal/scale/watch.go
@@ -0,0 +1,47 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"harepass/internal/decide/sources"
+	"harepass/internal/decide/versionlog"
+	"harepass/internal/distribution"
+)
+
+// watchAuthority follows the authority itself until ctx ends, to learn which index it gave to what was published.
+func (f *fleet) watchAuthority(ctx context.Context) {
+	follow := func(resource distribution.Resource, seen func(versionlog.Entry)) {
+		distribution.New(distribution.Config{Resource: resource, Sources: []sources.Source{{Address: f.authority.address}},
+			Apply: func(u distribution.Update) {
+				for _, e := range u.Entries {
+					seen(e)
+				}
+			}}).Run(ctx)
+	}
+	var both sync.WaitGroup
+	both.Go(func() { follow(distribution.Instances, f.seenEntry) })
+	both.Go(func() { follow(distribution.Settings, f.seenSettings) })
+	both.Wait()
+}
+
+// seenEntry notes the index of a changed entry.
+func (f *fleet) seenEntry(e versionlog.Entry) {
+	if e.Removed {
+		f.publisher.seenGone(e.Name, e.Index)
+		return
+	}
+	var entry Entry
+	if json.Unmarshal(e.Body, &entry) == nil {
+		f.publisher.seen(List, entry.SinceMS, e.Index)
+	}
+}
+
+// seenSettings notes the index of a version of the settings.
+func (f *fleet) seenSettings(e versionlog.Entry) {
+	if settings, caps, err := readSettings(e); err == nil {
+		number, _ := numberOf(settings.RetryAdvice, caps.KeepAlive)
+		f.publisher.seen(Settings, number, e.Index)
+	}
+}
