Distribution: readers leave a relay that is cut off from its sources for a fresher one

A relay cut off from its own sources still answers, so its readers, relays among them, stayed and got nothing new. Now a reader whose source's age exceeds 1.5 s (three heartbeats, if more) looks at its other sources beside it, in their order, at drawn moments and with growing pauses, and follows one that is fresher by half the bound; equally stale ones are never exchanged, and a nearer one is returned to only while it is not stale. Answers tell the age in milliseconds (Age-Ms); a relay that begins anew with its sources keeps its age.

Selector.Return takes the time and the age now, so the calls in TestChoices do; that test also draws the new reason.

Not run: the tests of cmd/harepass.

--- a/internal/decide/sources/sources.go
+++ b/internal/decide/sources/sources.go
@@ -2,7 +2,8 @@
 // in its region before any other, and among equals in an order drawn for each reader. A source that failed is left for
 // the next one and tried again after a pause that grows with each failure; a reader that had to go far returns to a nearer
 // source once that is healthy, at a moment of its own, so that a relay that comes back is not met by all its readers at
-// once. Times are durations on the caller's clock; randomness is passed in.
+// once. A reader whose source is stale looks for a fresher one (freshness.go). Times are durations on the caller's clock;
+// randomness is passed in.
 package sources
 
 import (
@@ -33,10 +34,13 @@
 	Silent               // no answer within the heartbeat and its allowance
 	Behind               // it has an older version than the reader
 	Spoilt               // an answer that no source gives by the contract
+	Stale                // what it has was last known to be the newest too long ago
 )
 
 // String names the reason for logs.
-func (r Reason) String() string { return [...]string{"failed", "silent", "behind", "spoilt"}[r] }
+func (r Reason) String() string {
+	return [...]string{"failed", "silent", "behind", "spoilt", "stale"}[r]
+}
 
 // pause is how long a source is left alone: least after the first failure, twice as long with each further one, most at
 // last.
@@ -47,6 +51,7 @@
 	Silent: {500 * time.Millisecond, 5 * time.Second},
 	Behind: {250 * time.Millisecond, time.Second}, // it is about to catch up
 	Spoilt: {2 * time.Second, 30 * time.Second},
+	Stale:  {time.Second, time.Second}, // it answers: where the current one fails it is better than none
 }
 
 const (
@@ -105,6 +110,7 @@
 	current    int
 	notBefore  time.Duration
 	rand       *rand.Rand
+	freshness  freshness
 }
 
 // New returns a Selector for a reader at a place.
@@ -164,6 +170,7 @@
 func (s *Selector) choose(i int) {
 	s.current = i
 	s.candidates[i].served = false
+	s.freshness = freshness{staleAfter: s.freshness.staleAfter}
 }
 
 // Served notes a good answer of the current source.
@@ -211,18 +218,7 @@
 	return Source{}, false
 }
 
-// Return follows a source that Nearer named and that has answered. It does not where the current one is as near by now, or
-// there is none.
-func (s *Selector) Return(source Source) bool {
-	i := s.index(source)
-	if i == none || s.current == none || s.candidates[i].distance >= s.candidates[s.current].distance {
-		return false
-	}
-	s.choose(i)
-	return true
-}
-
-// Stay notes that a source that Nearer named is not fit yet.
+// Stay notes that a source that Nearer or Fresher named is not fit yet.
 func (s *Selector) Stay(now time.Duration, source Source, reason Reason) {
 	if i := s.index(source); i != none && i != s.current {
 		s.fail(i, now, reason)
@@ -241,7 +237,9 @@
 	for range c.failures {
 		wait = min(2*wait, p.most)
 	}
-	c.failures = min(c.failures+1, maxFailures)
+	if reason != Stale {
+		c.failures = min(c.failures+1, maxFailures)
+	}
 	c.refusals = 0
 	c.retryAt = now + time.Duration((1-jitter)*float64(wait)) + s.draw(time.Duration(jitter*float64(wait)))
 	c.returnAt = c.retryAt + s.draw(returnSpread)
--- a/internal/decide/sources/sources_test.go
+++ b/internal/decide/sources/sources_test.go
@@ -92,7 +92,7 @@
 			}
 			switch rapid.IntRange(0, 4).Draw(t, "event") {
 			case 0:
-				s.Leave(now, Reason(rapid.IntRange(0, 3).Draw(t, "reason")))
+				s.Leave(now, Reason(rapid.IntRange(0, 4).Draw(t, "reason")))
 				if s.notBefore-now > spread {
 					t.Fatalf("the next one is turned to %v later", s.notBefore-now)
 				}
@@ -109,10 +109,10 @@
 					t.Fatalf("from %s it would return to %s", current.Address, nearer.Address)
 				}
 				if rapid.Bool().Draw(t, "fit") {
-					if got, _ := s.Current(); !s.Return(nearer) || got == nearer {
+					if got, _ := s.Current(); !s.Return(now, nearer, 0) || got == nearer {
 						t.Fatalf("it does not return from %s to %s", got.Address, nearer.Address)
 					}
-					if got, _ := s.Current(); got != nearer || s.Return(nearer) {
+					if got, _ := s.Current(); got != nearer || s.Return(now, nearer, 0) {
 						t.Fatalf("it follows %s, not %s", got.Address, nearer.Address)
 					}
 				} else if s.Stay(now, nearer, Failed); s.current == none {
--- /dev/null
+++ b/internal/distribution/age_test.go
@@ -0,0 +1,30 @@
+package distribution
+
+import (
+	"net/textproto"
+	"testing"
+	"time"
+
+	"harepass/internal/http1"
+)
+
+// The age in milliseconds goes before the one in seconds, which older relays alone give; one that cannot be read is none.
+func TestAgeOf(t *testing.T) {
+	for _, c := range []struct {
+		seconds, milliseconds string
+		want                  time.Duration
+	}{
+		{"1", "1499", 1499 * time.Millisecond},
+		{"2", "", 2 * time.Second},
+		{"2", "-1", 2 * time.Second},
+		{"", "", 0},
+		{"1.5", "99999999999999999999", 0},
+	} {
+		header := textproto.MIMEHeader{}
+		header.Set("Age", c.seconds)
+		header.Set("Age-Ms", c.milliseconds)
+		if got := ageOf(&http1.Message{Header: header}); got != c.want {
+			t.Errorf("%q and %q: %v, want %v", c.seconds, c.milliseconds, got, c.want)
+		}
+	}
+}
--- a/internal/distribution/call.go
+++ b/internal/distribution/call.go
@@ -118,7 +118,8 @@
 	}
 	news := slice.Version != before.Version || slice.Snapshot || change.Completed
 	f.more = news && slice.More()
-	f.note(slice, change, news, ageOf(m))
+	f.sourceAge = ageOf(m)
+	f.note(slice, change, news, f.sourceAge)
 	if news {
 		f.cfg.Apply(Update{Slice: slice, Entries: change.Entries, Gone: change.Gone,
 			Completed: change.Completed, Whole: change.Whole, Source: source})
@@ -151,6 +152,7 @@
 			f.answered(source)
 		}
 		f.selector.Served(f.now())
+		f.selector.Aged(f.now(), f.sourceAge)
 		return true
 	}
 	if f.bearBehind(ctx, r) {
@@ -196,6 +198,9 @@
 
 // ageOf is how long ago the source knew that it has the authority's newest version, as far as it tells.
 func ageOf(m *http1.Message) time.Duration {
+	if milliseconds, err := strconv.ParseUint(m.Header.Get(AgeMillisecondsHeader), 10, 41); err == nil {
+		return time.Duration(milliseconds) * time.Millisecond
+	}
 	seconds, err := strconv.ParseUint(m.Header.Get("Age"), 10, 31)
 	if err != nil {
 		return 0
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -39,6 +39,9 @@
 	DefaultMaxBody = 64 << 10
 )
 
+// AgeMillisecondsHeader has an answer's Age in whole milliseconds. Its name is in the canonical form.
+const AgeMillisecondsHeader = "Age-Ms"
+
 // Update is what an answer has changed. It is valid beyond the call.
 type Update struct {
 	// Slice is the answer as it came, for readers that keep a log of their own. The other fields are what it means for
--- a/internal/distribution/follower.go
+++ b/internal/distribution/follower.go
@@ -27,7 +27,12 @@
 
 	Hold      time.Duration // the heartbeat; DefaultHold where it is 0
 	Allowance time.Duration // DefaultAllowance where it is 0
-	MaxBody   int           // bytes; DefaultMaxBody where it is 0
+	// StaleAfter is the age of what a source has from which on a fresher one is looked for; where it is 0,
+	// sources.DefaultStaleAfter, or three heartbeats if that is more.
+	StaleAfter time.Duration
+	// Confirmed is when what the consumer has from before was last known to be the newest; New's time where it is zero.
+	Confirmed time.Time
+	MaxBody   int // bytes; DefaultMaxBody where it is 0
 
 	Known []string // names that the consumer has from elsewhere: it is told where the first snapshot does not hold them
 
@@ -48,8 +53,10 @@
 	dial      http1.Dialer // counts bytes
 	more      bool         // the last answer brought news and told of more
 	following bool         // the current source has given a good answer
-	trials    chan trial   // of a nearer source, once it is over
+	trials    chan trial   // of a better source, once it is over
 	trying    bool         // one is under way, or its result waits in trials
+	// sourceAge is that of what the current source has, by its last answer.
+	sourceAge time.Duration
 	// behindSince is when the current source's answers began to be older than the replica; zero while they are not.
 	behindSince time.Time
 
@@ -70,6 +77,9 @@
 	if cfg.Allowance == 0 {
 		cfg.Allowance = DefaultAllowance
 	}
+	if cfg.StaleAfter == 0 {
+		cfg.StaleAfter = max(sources.DefaultStaleAfter, 3*cfg.Hold)
+	}
 	if cfg.MaxBody == 0 {
 		cfg.MaxBody = DefaultMaxBody
 	}
@@ -77,7 +87,11 @@
 		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	now := time.Now()
-	f := &Follower{cfg: cfg, selector: sources.New(cfg.Own, cfg.Sources, cfg.Rand), began: now, confirmed: now, trials: make(chan trial, 1)}
+	if cfg.Confirmed.IsZero() {
+		cfg.Confirmed = now
+	}
+	f := &Follower{cfg: cfg, selector: sources.New(cfg.Own, cfg.Sources, cfg.Rand), began: now, confirmed: cfg.Confirmed, trials: make(chan trial, 1)}
+	f.selector.StaleAfter(cfg.StaleAfter)
 	f.state.AnySnapshot = cfg.AnySnapshot
 	f.state.Seed(cfg.Known)
 	f.dial = f.countBytes(cfg.Dial)
@@ -118,7 +132,7 @@
 	}
 }
 
-// follow follows a source, and nearer ones that it returns to, until one is to be left.
+// follow follows a source, and better ones that it changes to, until one is to be left.
 func (f *Follower) follow(ctx context.Context, source sources.Source) {
 	c := f.client(source)
 	defer func() { c.Close() }()
@@ -146,9 +160,21 @@
 	if first || !known || cursor.Base > 0 || f.more || f.behind() {
 		return noHold
 	}
+	if !f.selector.Stale() {
+		return f.cfg.Hold
+	}
+	if f.trying {
+		return min(f.cfg.Hold, trialHold)
+	}
+	if wait := f.selector.LookIn(f.now()); wait > 0 {
+		return min(f.cfg.Hold, max(wait, noHold))
+	}
 	return f.cfg.Hold
 }
 
+// trialHold is the hold of calls to a stale source while another one is tried: its answer is not to wait for a heartbeat.
+const trialHold = 100 * time.Millisecond
+
 // noHold is the hold of a call that does not wait for news.
 const noHold = time.Millisecond
 
--- a/internal/distribution/trial.go
+++ b/internal/distribution/trial.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"log/slog"
+	"time"
 
 	"harepass/internal/decide/replica"
 	"harepass/internal/decide/sources"
@@ -9,15 +11,17 @@
 	"harepass/internal/http1"
 )
 
-// trial is what came of a call to a nearer source, beside the one in use: it may be silent, and changes are not to wait for
+// trial is what came of a call to a nearer or fresher source, beside the one in use: it may be silent, and changes are not to wait for
 // it. Nothing of its answer counts; the calls that follow bring what it has.
 type trial struct {
 	source sources.Source
 	client *http1.Client
 	result result
+	age    time.Duration // of what the source has, when it answered
+	at     time.Time     // when it answered
 }
 
-// returnTo returns a nearer source with its client where one has answered a trial, and begins a trial where it is time.
+// returnTo returns a better source with its client where one has answered a trial, and begins a trial where it is time.
 func (f *Follower) returnTo(ctx context.Context) (sources.Source, *http1.Client) {
 	if !f.trying {
 		f.beginTrial(ctx)
@@ -28,7 +32,7 @@
 		f.trying = false
 		if t.result.err != nil {
 			f.selector.Stay(f.now(), t.source, t.result.reason())
-		} else if f.selector.Return(t.source) {
+		} else if f.isBetter(t) {
 			return t.source, t.client
 		}
 		t.client.Close()
@@ -37,21 +41,45 @@
 	return sources.Source{}, nil
 }
 
-// beginTrial calls a nearer source where there is one to try.
+// isBetter tells whether the source of a trial that was answered is to be followed.
+func (f *Follower) isBetter(t trial) bool {
+	left, _ := f.selector.Current()
+	stale := f.selector.Stale()
+	if !f.selector.Return(f.now(), t.source, t.age+time.Since(t.at)) {
+		return false
+	}
+	if stale {
+		slog.Info("source left", "resource", f.cfg.Resource.Name(), "source", left.Address, "reason", sources.Stale.String(),
+			"age", f.sourceAge.Round(time.Millisecond))
+	}
+	return true
+}
+
+// beginTrial calls a nearer source, or where the current one is stale any other one, where there is one to try.
 func (f *Follower) beginTrial(ctx context.Context) {
-	source, ok := f.selector.Nearer(f.now())
-	if !ok || !f.state.Whole() {
+	if !f.state.Whole() {
+		return
+	}
+	better := f.selector.Nearer
+	if f.selector.Stale() {
+		better = f.selector.Fresher
+	}
+	source, ok := better(f.now())
+	if !ok {
 		return
 	}
 	f.trying = true
 	cursor, known := f.state.Cursor()
 	go func() {
 		c := f.client(source)
+		t := trial{source: source, client: c}
 		answer, err := f.ask(ctx, c, cursor, known, noHold)
 		if err == nil {
+			t.age, t.at = ageOf(answer), time.Now()
 			err = fit(answer, cursor)
 		}
-		f.trials <- trial{source, c, result{err}}
+		t.result = result{err}
+		f.trials <- t
 	}()
 }
 
--- a/internal/relay/resource.go
+++ b/internal/relay/resource.go
@@ -222,6 +222,13 @@
 	return time.Since(r.current)
 }
 
+// currentAge is how long ago the resource was known to be current.
+func (r *Resource) currentAge() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ageNow()
+}
+
 // Head is the version of what the resource holds.
 func (r *Resource) Head() versionlog.Version {
 	r.mu.Lock()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"harepass/internal/decide/versionlog"
+	"harepass/internal/distribution"
 	"harepass/internal/http1"
 )
 
@@ -127,7 +128,8 @@
 	case Behind:
 		return plain(409, "this source is behind the reader")
 	}
-	header := textproto.MIMEHeader{"Content-Type": {"application/json"}, "Age": {strconv.Itoa(int(reply.Age / time.Second))}}
+	header := textproto.MIMEHeader{"Content-Type": {"application/json"}, "Age": {strconv.Itoa(int(reply.Age / time.Second))},
+		distribution.AgeMillisecondsHeader: {strconv.FormatInt(reply.Age.Milliseconds(), 10)}}
 	return &http1.Message{Status: 200, Header: header, Body: reply.Body}
 }
 
