--- a/internal/decide/sources/sources.go
+++ b/internal/decide/sources/sources.go
@@ -47,13 +47,17 @@
 type pause struct{ least, most time.Duration }
 
 var pauses = map[Reason]pause{
-	Failed: {250 * time.Millisecond, 5 * time.Second},
-	Silent: {500 * time.Millisecond, 5 * time.Second},
+	Failed: {250 * time.Millisecond, longestPause},
+	Silent: {500 * time.Millisecond, longestPause},
 	Behind: {250 * time.Millisecond, time.Second}, // it is about to catch up
 	Spoilt: {2 * time.Second, 30 * time.Second},
 	Stale:  {time.Second, time.Second}, // it answers: where the current one fails it is better than none
 }
 
+// longestPause bounds the pause after failures: a reader all of whose sources were cut off for long has to have what is new
+// within 3 s of their return, and a call in vain that is under way then takes its heartbeat and allowance as well.
+const longestPause = 1500 * time.Millisecond
+
 const (
 	// jitter is the share of a pause that is drawn.
 	jitter = 0.5
