Capacity page: the fleet's run on one machine, with all that it missed

Rows for times in force, processor, memory and bytes of coordinators, relays and authority come from the scale run's JSON; a table has its troubles and its misses.

--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -70,7 +70,7 @@
 
 // Regions are the generated parts of the page by name.
 func (r Results) Regions() map[string]string {
-	regions := map[string]string{"tail": tailText(Asked), "over": r.overText(Asked), "choice": r.choiceText(), "twice": r.twiceText(), "slopes-baseline": slopesText(r.Baseline),
+	regions := map[string]string{"tail": tailText(Asked), "over": r.overText(Asked), "choice": r.choiceText(), "scale": scaleText(r.Scale), "twice": r.twiceText(), "slopes-baseline": slopesText(r.Baseline),
 		"slopes-current": "Not run yet.\n"}
 	if r.Current != nil {
 		regions["slopes-current"] = slopesText(r.Current)
--- a/internal/capacity/rows_relay.go
+++ b/internal/capacity/rows_relay.go
@@ -62,7 +62,7 @@
 	m.add(ControlPath, "start-bytes", atStart, fmt.Sprintf("bytes: the whole list within %d s", startWithin), "bytes/s", m.at("member-list-bytes", n).times(1e6/startWithin, fmt.Sprintf("1e6 / %d s", startWithin)), ControlBytes, byBudget)
 	m.add(ControlPath, "relay-day-cpu", ordinary, "CPU: the day's changes one by one from a relay, no queries", "of a core",
 		m.at("member-change", n).times(m.size.entriesOfDay()/day/coreSecond, fmt.Sprintf("%.3g/s", m.size.entriesOfDay()/day)), ControlCores, byFollower)
-	hollow := "all of the above; a hollow coordinator, without clients"
+	hollow := "followers of list and settings; owner and module in a few of them; no clients"
 	m.add(ControlPath, "run-cpu", ordinary, "CPU in the fleet's run, mean of the host whose coordinators spent most", "of a core", m.inRun("hollow ones, calm", func(s *Scale) float64 { return s.Calm[scaleHost].CPUMost }), ControlCores, hollow)
 	m.add(ControlPath, "run-memory", "all of the run", "memory in the fleet's run, likewise", "MB", m.inRun("hollow ones, troubled", func(s *Scale) float64 { return s.Troubled[scaleHost].MemoryMost }), ControlMemory, hollow)
 	m.add(ControlPath, "run-bytes", ordinary, "bytes in the fleet's run, likewise", "bytes/s", m.inRun("hollow ones, calm", func(s *Scale) float64 { return 1e3 * s.Calm[scaleHost].KBPerSMost }), ControlBytes, hollow)
--- a/internal/capacity/scale.go
+++ b/internal/capacity/scale.go
@@ -4,11 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 )
 
 // Scale is what the page takes from a scale run's result (`bin/lab scale -o`): a fleet of the whole size on one machine.
 type Scale struct {
 	Plan     string                `json:"plan"`
+	Seconds  float64               `json:"seconds"`
+	Sizes    ScaleSizes            `json:"sizes"`
 	Started  ScaleTimes            `json:"started"`
 	List     ScaleTimes            `json:"list"`
 	Settings ScaleTimes            `json:"settings"`
@@ -20,11 +23,21 @@
 	Missed   []string              `json:"missed"`
 }
 
+// ScaleSizes are what the run was made of.
+type ScaleSizes struct {
+	Coordinators float64 `json:"coordinators"`
+	Real         float64 `json:"real"`
+	Modules      float64 `json:"hollow_with_module"`
+	Entries      float64 `json:"entries"`
+	Control      float64 `json:"control_processes"`
+}
+
 // ScaleTimes are seconds from a change's publishing, or a member's start, until it was in force.
 type ScaleTimes struct {
 	Median float64 `json:"median_s"`
 	P99    float64 `json:"p99_s"`
 	Last   float64 `json:"last_s"`
+	Never  float64 `json:"never"` // members that never had a change in force, summed over the changes
 }
 
 // ScaleTrouble are those of one trouble.
@@ -59,6 +72,38 @@
 	scaleHost        = "host of hollow coordinators"
 )
 
+// scaleText is what a run came to, with all that it missed.
+func scaleText(s *Scale) string {
+	if s == nil {
+		return "Not run yet.\n"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "Plan `%s`: %s coordinators, %s of them real and %s hollow ones with owner and module, %s entries, %s control processes; %s s.\n\n", s.Plan, number(s.Sizes.Coordinators), number(s.Sizes.Real),
+		number(s.Sizes.Modules), number(s.Sizes.Entries), number(s.Sizes.Control), number(s.Seconds))
+	fmt.Fprint(&b, "| until in force, in seconds | median | 99 in 100 | last | never |\n| --- | --- | --- | --- | --- |\n")
+	row := func(what string, t ScaleTimes) {
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s |\n", what, number(t.Median), number(t.P99), number(t.Last), number(t.Never))
+	}
+	row("from its start: list and settings", s.Started)
+	row("list", s.List)
+	row("settings", s.Settings)
+	for _, t := range s.Troubles {
+		row(t.What+": list", t.List)
+		row(t.What+": after its end", t.Recovered)
+	}
+	for _, base := range s.Baseline {
+		row(fmt.Sprintf("without distribution, %g s a call: list", base.Turn), base.List)
+	}
+	fmt.Fprint(&b, "\nMissed of what the plan states:\n\n")
+	if len(s.Missed) == 0 {
+		fmt.Fprintln(&b, "- nothing")
+	}
+	for _, missed := range s.Missed {
+		fmt.Fprintf(&b, "- %s\n", missed)
+	}
+	return b.String()
+}
+
 // LoadScale reads a scale run's file.
 func LoadScale(path string) (*Scale, error) {
 	data, err := os.ReadFile(path)
