--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -16,6 +16,7 @@
 	baselineFile = "baseline.json"
 	currentFile  = "current.json"
 	scaleFile    = "scale.json"
+	earlierFile  = "scale-120-cells.json" // a fleet's run with 175 holders of a section, before mends that it asked for
 )
 
 // Results are the runs that the page is made from.
@@ -23,6 +24,7 @@
 	Baseline *Run
 	Current  *Run   // nil where there is none yet
 	Scale    *Scale // likewise
+	Earlier  *Scale // shown, and its figures stand in no row
 }
 
 // LoadResults reads the runs of a folder.
@@ -36,12 +38,21 @@
 	if err != nil {
 		return r, err
 	}
-	if r.Scale, err = LoadScale(filepath.Join(folder, scaleFile)); errors.Is(err, os.ErrNotExist) {
-		r.Scale, err = nil, nil
+	if r.Scale, err = loadScaleIfThere(filepath.Join(folder, scaleFile)); err != nil {
+		return r, err
 	}
+	r.Earlier, err = loadScaleIfThere(filepath.Join(folder, earlierFile))
 	return r, err
 }
 
+func loadScaleIfThere(path string) (*Scale, error) {
+	s, err := LoadScale(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	return s, err
+}
+
 // pair is a row before and after the mechanism; either may be missing.
 type pair struct{ before, now *Row }
 
@@ -70,7 +81,7 @@
 
 // Regions are the generated parts of the page by name.
 func (r Results) Regions() map[string]string {
-	regions := map[string]string{"tail": tailText(Asked), "over": r.overText(Asked), "choice": r.choiceText(), "scale": scaleText(r.Scale), "twice": r.twiceText(), "slopes-baseline": slopesText(r.Baseline),
+	regions := map[string]string{"tail": tailText(Asked), "over": r.overText(Asked), "choice": r.choiceText(), "scale": scaleText(r.Scale), "scale-earlier": scaleText(r.Earlier), "twice": r.twiceText(), "slopes-baseline": slopesText(r.Baseline),
 		"slopes-current": "Not run yet.\n"}
 	if r.Current != nil {
 		regions["slopes-current"] = slopesText(r.Current)
