Test network in memory ends each direction of a connection by itself, as TCP does

TestErrors failed with "io: read/write on closed pipe" on its 413. The server answers such a request before its body is in, ends its own side and reads out the rest; on net.Pipe, which has no half close, it can only close, and the client's write fails before its answer is taken. The fault was the network's in the test, not the server's.

--- a/internal/opensearch/parity_test.go
+++ b/internal/opensearch/parity_test.go
@@ -59,7 +59,7 @@
 }
 
 func newWorld(t *testing.T, api bool, script func(shard, try int) standin.Reply, down int) *world {
-	w := &world{t: t, fleet: &standin.Fleet{Script: script}}
+	w := &world{t: t, net: standin.Net{HalfClose: true}, fleet: &standin.Fleet{Script: script}}
 	clock := core.SystemClock()
 	c := config(t)
 	frames := &platform.Nodes{Streams: 32, ConnectTimeout: 250 * ms, Quiet: 300 * ms, KeepAlive: 30 * time.Second, Dial: w.net.Dial}
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -2,17 +2,57 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"time"
 )
 
 // Net is a network in memory, for tests on a clock of their own.
 type Net struct {
+	// HalfClose makes both directions of a connection end by themselves, as on TCP: a server can then end its answers and
+	// still read out what its client sends. Without it connections are net.Pipe's, which end in both directions at once.
+	HalfClose bool
+
 	mu        sync.Mutex
 	listeners map[string]*memListener
 }
 
+// memConn is one end of a connection in memory that closes its own direction with CloseWrite and goes on reading the
+// peer's. Nothing is buffered: a write waits for the peer's reads.
+type memConn struct {
+	net.Conn          // the direction from the peer
+	out      net.Conn // the direction to the peer
+}
+
+// pipe returns both ends of a connection.
+func (n *Net) pipe() (here, there net.Conn) {
+	if !n.HalfClose {
+		return net.Pipe()
+	}
+	toHere, fromThere := net.Pipe()
+	toThere, fromHere := net.Pipe()
+	return &memConn{Conn: toHere, out: fromHere}, &memConn{Conn: toThere, out: fromThere}
+}
+
+// Write implements net.Conn.
+func (c *memConn) Write(data []byte) (int, error) { return c.out.Write(data) }
+
+// CloseWrite ends the direction to the peer, which then reads io.EOF.
+func (c *memConn) CloseWrite() error { return c.out.Close() }
+
+// Close implements net.Conn.
+func (c *memConn) Close() error { return errors.Join(c.out.Close(), c.Conn.Close()) }
+
+// SetWriteDeadline implements net.Conn.
+func (c *memConn) SetWriteDeadline(at time.Time) error { return c.out.SetWriteDeadline(at) }
+
+// SetDeadline implements net.Conn.
+func (c *memConn) SetDeadline(at time.Time) error {
+	return errors.Join(c.SetReadDeadline(at), c.SetWriteDeadline(at))
+}
+
 type memListener struct {
 	address string
 	conns   chan net.Conn
@@ -40,7 +80,7 @@
 	if l == nil {
 		return nil, fmt.Errorf("connection to %s refused", address)
 	}
-	here, there := net.Pipe()
+	here, there := n.pipe()
 	select {
 	case l.conns <- there:
 		return here, nil
