Test of a call at the end of an idle connection cannot wait for itself

TestCallAtTheEndOfAnIdleConnection hung for ten minutes once. It gives its lock up and takes it again, so that the waiting reader comes next in turn; where its second goroutine got the lock in between, that one kept it until the test spoke, and the test waited for the lock. The fault was in the test, not in the program.

The second goroutine now gives the lock back until the test has had it again.

--- a/internal/platform/nodes_test.go
+++ b/internal/platform/nodes_test.go
@@ -561,9 +561,11 @@
 		time.Sleep(time.Millisecond)
 	}
 	mu := &p.nodes.mu
-	pass := func() { // to the longest waiting, and from there on in turn
+	regained := false // under the lock: the test has had it again behind the reader
+	pass := func() {  // to the longest waiting, and from there on in turn
 		mu.Unlock()
 		mu.Lock()
+		regained = true
 		time.Sleep(soon)
 		mu.Unlock()
 	}
@@ -573,6 +575,11 @@
 	holds, free, called := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	go func() {
 		mu.Lock()
+		for !regained { // it came before the test, which would wait for it for good: the test's turn is first
+			mu.Unlock()
+			time.Sleep(time.Millisecond)
+			mu.Lock()
+		}
 		close(holds)
 		<-free
 		pass()
