Counters with reasons, and a log of discovery's outages and of withheld attempts

Change: internal/counters, written to the log every 10 s and at the end; client connections closed by reason, bytes that came after a close, queries refused and attempts withheld by reason, list calls by kind of failure; 'discovery lost' now says the list's age and the next call, 'discovery answers again' ends it.

--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -144,8 +144,11 @@
 	if err := p.start(ctx); err != nil {
 		return err
 	}
+	go logReady(p.owner, time.Now())
+	go logCounters(ctx)
 	p.obey(ends, again)
 	p.drain()
+	logTotals()
 	return nil
 }
 
@@ -232,7 +235,7 @@
 // closed one by one, each with an answer, only when no new ones come any more. Where the platform holds the clients'
 // socket, whoever knocks from now on waits for the process that takes it over, and none comes to this one.
 func (p *program) drain() {
-	slog.Info("draining")
+	slog.Info("draining", "phase", p.owner.Phase().String(), "closes_resting_after", p.closeTime(), "last_answer_after", p.drainTime())
 	began := time.Now()
 	p.owner.Drain()
 	if p.socket == 0 {
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -34,6 +34,7 @@
 			o.letOut(o.firsts[a.Query])
 		case harepass.Refuse:
 			if q := o.queries[a.Query]; q != nil {
+				refusedByModule.Inc()
 				o.finish(q, Answer{Verdict: Refused, RetryIn: a.RetryIn})
 			}
 			o.letOut(o.firsts[a.Query])
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -83,6 +83,7 @@
 		}
 	}
 	took := max(0, when-at.sent)
+	countOutcome(outcome)
 	o.traceEnd(at, outcome, took)
 	o.events = append(o.events, harepass.AttemptEnded{Part: at.part.id, Attempt: at.no, Replica: at.Node,
 		Outcome: outcome, Took: took})
--- a/internal/core/begin.go
+++ b/internal/core/begin.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"harepass"
+	"harepass/internal/counters"
 	"harepass/internal/decide/resend"
 )
 
@@ -36,16 +38,33 @@
 // Begin tells a caller, which is about to write an attempt's first byte, whether it may. It does not block, so it may be
 // called under a lock; it is to be called once, and what it denies ends as Moot.
 func (at *Attempt) Begin() bool {
-	p := &at.permit
+	barred := at.permit.barred()
+	if barred == nil && !at.permit.stage.CompareAndSwap(waiting, begun) {
+		barred = withheldTakenBack
+	}
+	if barred == nil {
+		attemptsBegun.Inc()
+		return true
+	}
+	barred.Inc()
+	slog.Debug("attempt withheld", "id", at.Query, "shard", at.Shard, "no", at.no, "node", at.Node, "why", barred.Name())
+	return false
+}
+
+// barred is the counter of what keeps an attempt from beginning, apart from its stage; nil where nothing does.
+func (p *permit) barred() *counters.Counter {
 	if p.clock != nil {
-		if now := p.clock(); now >= p.until || now > p.again {
-			return false
+		switch now := p.clock(); {
+		case now >= p.until:
+			return withheldTimeOver
+		case now > p.again:
+			return withheldNoRepeat
 		}
 	}
 	if closed(p.gone) {
-		return false
+		return withheldClientLeft
 	}
-	return p.stage.CompareAndSwap(waiting, begun)
+	return nil
 }
 
 // withhold keeps an attempt from beginning. False means that it has begun.
@@ -88,6 +107,7 @@
 		return cmp.Or(cmp.Compare(x.part.q.number, y.part.q.number), cmp.Compare(x.part.id, y.part.id))
 	})
 	for _, at := range back {
+		withheldLeaving.Inc()
 		o.end(at, harepass.Moot, nil, o.now)
 		at.caller.Abandon(at)
 	}
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -44,7 +44,9 @@
 	if o.cfg.Gate == nil {
 		return true, 0
 	}
-	ok, retryIn = o.cfg.Gate.Admit(a)
+	if ok, retryIn = o.cfg.Gate.Admit(a); !ok {
+		refusedOverload.Inc()
+	}
 	if o.set().RetryAdvice == 0 { // clients are not to be told
 		retryIn = 0
 	}
--- a/internal/core/query.go
+++ b/internal/core/query.go
@@ -105,6 +105,7 @@
 	case o.queue <- posted{submitted{q}, o.cfg.Clock()}:
 		return true
 	default:
+		refusedQueueFull.Inc()
 		return false
 	}
 }
@@ -125,6 +126,7 @@
 		return
 	}
 	if most := o.most(); most > 0 && o.held+size > most {
+		refusedOpenLimit.Inc()
 		m.q.Done(Answer{Verdict: Refused, RetryIn: o.set().RetryAdvice})
 		return
 	}
@@ -137,6 +139,7 @@
 	if o.drainEnd > 0 {
 		m.q.Until = min(m.q.Until, o.drainEnd)
 	}
+	queriesTaken.Inc()
 	o.held += size
 	o.next++
 	q := &query{Query: m.q, id: strconv.FormatInt(o.next, 10), number: o.next, resend: policy, key: key, taken: o.now}
@@ -161,6 +164,8 @@
 
 func (m left) apply(o *Owner) {
 	if q := o.byQuery[m.q]; q != nil {
+		queriesClientLeft.Inc()
+		o.traceGone(q)
 		o.events = append(o.events, harepass.QueryGone{ID: q.id})
 		o.close(q)
 	}
@@ -169,6 +174,7 @@
 // overdue gives up a query that the module has left without an answer: the client's time is over.
 func (o *Owner) overdue(q *query) {
 	if o.queries[q.id] != nil {
+		queriesOverdue.Inc()
 		o.events = append(o.events, harepass.QueryGone{ID: q.id})
 		o.finish(q, Answer{Verdict: Failed})
 	}
@@ -176,6 +182,7 @@
 
 // finish gives a query its one final answer.
 func (o *Owner) finish(q *query, a Answer) {
+	countAnswer(a.Verdict)
 	o.traceAnswer(q, a)
 	o.close(q)
 	q.Done(a)
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// traceGone writes that a query's client has left.
+func (o *Owner) traceGone(q *query) {
+	if o.tracing() {
+		o.cfg.Log.Debug("client left", "id", q.ID, "class", q.Class, "after", o.now-q.taken)
+	}
+}
+
 // traceAnswer writes a query's end: at debug level each, else those that failed or came late.
 func (o *Owner) traceAnswer(q *query, a Answer) {
 	took := o.now - q.taken
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -37,6 +37,7 @@
 	changed func()    // told when kept has changed
 	asked   chan struct{}
 	moved   chan string // the latest new address that Run has not seen
+	outage  outage
 }
 
 const noIndex = -1
@@ -84,7 +85,7 @@
 // whole list: the new service counts by an index of its own. A watch that was lost is opened anew without a word to
 // the owner: what it missed is about to count as told.
 func (d *Discovery) Run(ctx context.Context) {
-	d.known = List{}
+	d.known, d.outage.answered = List{}, time.Now()
 	var pause time.Duration
 	select {
 	case <-d.asked:
@@ -118,7 +119,7 @@
 			pause = d.Schedule.Failed(took)
 			d.Listed(harepass.ListRefused, nil)
 		}
-		slog.Info("discovery lost", "err", err)
+		d.outage.failed(err, d.index, took, pause)
 	}
 }
 
@@ -168,7 +169,7 @@
 		data, err := call(ctx, c, target, limit)
 		took = time.Since(began)
 		if err != nil && watch {
-			return 0, fmt.Errorf("%w after %v: %w", errLost, took.Round(time.Millisecond), err)
+			return took, fmt.Errorf("%w after %v: %w", errLost, took.Round(time.Millisecond), err)
 		}
 		if err != nil {
 			return took, err
@@ -179,6 +180,7 @@
 			return 0, err
 		}
 		d.Schedule.Served()
+		d.outage.served(list.Index)
 		scope := harepass.ListChanges
 		if list.Snapshot {
 			scope = harepass.ListFull
