--- /dev/null
+++ b/internal/platform/told_deadline_test.go
@@ -0,0 +1,62 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"harepass"
+	"harepass/internal/core"
+	"harepass/internal/standin"
+)
+
+// toldSlack is by how much the deadline that a node is told may be over what its client has left.
+const toldSlack = 150 * time.Millisecond
+
+// A node is told the time that its client has left when the frame is written, not when the attempt was decided: it may have
+// waited for its connection since.
+func TestDeadlineToldIsWhatIsLeft(t *testing.T) {
+	const budget, late = 1400 * time.Millisecond, 400 * time.Millisecond
+	type heard struct {
+		list string
+		at   time.Time
+	}
+	parts := make(chan heard, 8)
+	fleet := &standin.Fleet{Heard: func(p standin.Part, _ standin.Kind) { parts <- heard{p.List, time.Now()} }}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go fleet.Frames(l)
+	nodes := &Nodes{Streams: 32, ConnectTimeout: 5 * time.Second, Quiet: time.Second, KeepAlive: 30 * time.Second,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			time.Sleep(late)
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}}
+	defer nodes.Close()
+	clock := core.SystemClock()
+	settings := harepass.Settings{Roots: 1, Cells: 1, Reach: 1, CallBatch: 1, Turn: time.Millisecond, MaxAttempts: 4, Cancel: true, RetryAdvice: time.Second,
+		Classes: []harepass.Class{{Name: "c", Aim: 1500 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1, Need: 1, Floor: 1}}}
+	owner, err := core.New(core.Config{Seed: 1, Settings: settings, Clock: clock, Callers: map[string]core.Caller{Scheme: nodes}, Subscribe: func() {}, Asked: "test"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	nodes.Owner = owner
+	go owner.Run()
+	defer owner.Stop()
+	owner.Listed("test", harepass.ListFull, []core.Node{{Replica: harepass.Replica{ID: "n0", State: harepass.Ready}, Address: l.Addr().String(), Scheme: Scheme}})
+	until := time.Now().Add(budget)
+	a := owner.Ask(&core.Query{ID: "q", Class: "c", Until: clock() + budget, Parts: []core.Part{{Shard: 0, Weight: 1}}}, nil)
+	if a.Verdict != core.Served {
+		t.Fatalf("the answer is %+v", a)
+	}
+	part := <-parts
+	told, err := strconv.Atoi(strings.TrimPrefix(part.list, "d="))
+	if left := until.Sub(part.at); err != nil || time.Duration(told)*time.Millisecond > left+toldSlack {
+		t.Errorf("the node was told %q, %v, when its client had %v left", part.list, err, left)
+	}
+}
