A list that discovery has not confirmed expires: nothing new is sent by it

Class: state that others may change is used after the time for which it was known to hold. Change: internal/decide/lease (pure) grants a lease by each confirmation, renewed also by a call that finds discovery down, cut by a reload; the owner tells the module that the nodes drain once it is over, withholds what has not begun, and refuses new queries at once; a failed call's pause ends so that the next answer comes before the expiry where the fleet can be heard in time.

--- a/cmd/harepass/incident_test.go
+++ b/cmd/harepass/incident_test.go
@@ -353,3 +353,21 @@
 		})
 	}
 }
+
+// A discovery that is down binds nobody: its nodes are used for as long as that lasts, and no query is refused for it.
+func TestServesWhileDiscoveryIsDown(t *testing.T) {
+	t.Parallel()
+	s := newSmall(t, 256, 6)
+	d := &crowdedDiscovery{s: s}
+	startFleetMember(t, s, d, 35)
+	time.Sleep(1500 * time.Millisecond)
+	d.down.Store(true)
+	for end := time.Now().Add(2 * backoff.Binds); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if status := ask(t, s.native, 0, 1, 2, 3, 4, 5); status != 200 {
+			t.Fatalf("a query ended with %d\n%s", status, s.log)
+		}
+	}
+	if d.calls.Load() == 0 {
+		t.Error("nobody called")
+	}
+}
--- a/cmd/harepass/wiring.go
+++ b/cmd/harepass/wiring.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"harepass"
 	"harepass/internal/core"
@@ -126,7 +127,8 @@
 func (p *program) runSources(ctx context.Context) {
 	listed := func(scope harepass.ListScope, nodes []core.Node) { p.owner.Listed(platform.Source, scope, nodes) }
 	if p.disc != nil {
-		p.disc.Listed = listed
+		p.disc.Listed, p.disc.Clock = listed, p.clock
+		p.disc.Leased = func(expires time.Duration) { p.owner.Leased(platform.Source, expires) }
 		go p.disc.Run(ctx)
 	}
 	if p.distributed != nil {
--- a/internal/core/begin.go
+++ b/internal/core/begin.go
@@ -116,5 +116,5 @@
 // sendable tells whether a node is listed as running and is not out by hand.
 func (o *Owner) sendable(id string) bool {
 	n, here := o.nodes[id]
-	return here && o.book.Told(n.Replica).State == harepass.Ready
+	return here && o.told(n).State == harepass.Ready
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -101,7 +101,12 @@
 	list      bool          // discovery has answered, be it with a refusal, or the remembered list has to do
 	asked     bool          // for a list, and none is presumed yet
 	ending    bool          // to stop when nothing is open
-	words     words
+
+	leaseEnd   *deadline // when the list that was asked for expires; nil where nothing was said of that
+	expired    bool      // it has
+	onlyLeased bool      // then: there are no nodes but those of that list
+
+	words words
 
 	facts  atomic.Pointer[facts]
 	books  atomic.Pointer[maintenance.Book] // the latest one, from any goroutine
--- a/internal/core/counts.go
+++ b/internal/core/counts.go
@@ -13,6 +13,8 @@
 	refusedQueueFull   = counters.New("queries_refused", "queue_full")
 	refusedOverload    = counters.New("queries_refused", "overload")
 	refusedOpenLimit   = counters.New("queries_refused", "open_limit")
+	refusedListExpired = counters.New("queries_refused", "list_expired")
+	listsExpired       = counters.New("lists", "expired")
 	refusedByModule    = counters.New("queries_refused", "module")
 	attemptsBegun      = counters.New("attempts", "begun")
 	withheldClientLeft = counters.New("attempts_withheld", "client_left")
--- a/internal/core/maintenance.go
+++ b/internal/core/maintenance.go
@@ -34,8 +34,7 @@
 		return
 	}
 	o.heeded, o.book = b, *b
-	clear(o.ables)
-	o.events = append(o.events, harepass.ListReceived{Scope: harepass.ListRemembered, Replicas: o.replicas()})
+	o.retellNodes()
 	o.withholdLeaving()
 	o.warnBare()
 }
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -67,7 +67,7 @@
 		}
 		o.traceListed(n)
 		leaving = leaving || !o.sendable(n.ID)
-		ev.Replicas = append(ev.Replicas, o.book.Told(n.Replica))
+		ev.Replicas = append(ev.Replicas, o.told(listedNode{n, m.source}))
 	}
 	for id, n := range before { // what is out there still has its connection, which ends when it has been idle
 		if _, here := o.nodes[id]; !here && o.cfg.Callers[n.Scheme] != nil {
@@ -103,7 +103,7 @@
 // replicas is the whole list as the module is to hear it.
 func (o *Owner) replicas() (list []harepass.Replica) {
 	for _, id := range slices.Sorted(maps.Keys(o.nodes)) {
-		list = append(list, o.book.Told(o.nodes[id].Replica))
+		list = append(list, o.told(o.nodes[id]))
 	}
 	return list
 }
--- a/internal/core/query.go
+++ b/internal/core/query.go
@@ -120,6 +120,11 @@
 		m.q.Done(Answer{Verdict: Failed})
 		return
 	}
+	if o.unservable() {
+		refusedListExpired.Inc()
+		m.q.Done(Answer{Verdict: Refused, RetryIn: o.set().RetryAdvice})
+		return
+	}
 	size := 1 + len(m.q.Parts)
 	if _, taken := o.ids[m.q.ID]; taken {
 		m.q.Done(Answer{Verdict: Invalid, Reason: "the id is taken"})
--- a/internal/decide/backoff/backoff.go
+++ b/internal/decide/backoff/backoff.go
@@ -64,8 +64,14 @@
 	return p.draw(min(p.span(spare), Spread))
 }
 
-// Failed notes that a call has failed after so long and returns how long to wait before the next.
-func (p *Schedule) Failed(took time.Duration) time.Duration {
+// Failed notes that a call has failed after so long and returns how long to wait before the next, where the list that the
+// coordinator has is not going to expire.
+func (p *Schedule) Failed(took time.Duration) time.Duration { return p.FailedBefore(took, 0) }
+
+// FailedBefore is Failed where the list expires in a time: if the service can hear the whole fleet in the time in which
+// changes bind, the next call is made such that it has its answer before that. What has expired already cannot be saved by a
+// call in haste.
+func (p *Schedule) FailedBefore(took, expiresIn time.Duration) time.Duration {
 	if p.Pushed {
 		return agentPause
 	}
@@ -77,7 +83,19 @@
 		}
 	}
 	allowed := min(p.Told, time.Duration(p.wide)*(Binds-Answer)) // with each failure more, for the service to work off what failed
-	return again + p.draw(p.within(p.span(p.wide)-p.queue(), p.spread()-again, allowed-again))
+	span := p.within(p.span(p.wide)-p.queue(), p.spread()-again, allowed-again)
+	if left := expiresIn - again - p.turnedAwayAfter(); left > 0 && p.span(1) <= Binds {
+		span = min(span, left)
+	}
+	return again + p.draw(span)
+}
+
+// turnedAwayAfter is how long the service lets a call wait, at most.
+func (p *Schedule) turnedAwayAfter() time.Duration {
+	if p.patience > 0 {
+		return p.patience
+	}
+	return patience
 }
 
 // Served notes that a call was answered.
@@ -104,10 +122,7 @@
 
 // queue is how much of the service's time may be asked for at once.
 func (p *Schedule) queue() time.Duration {
-	if p.patience > 0 {
-		return scale(p.patience, queue)
-	}
-	return scale(patience, queue)
+	return scale(p.turnedAwayAfter(), queue)
 }
 
 // draw is a moment in a span.
--- a/internal/decide/backoff/backoff_test.go
+++ b/internal/decide/backoff/backoff_test.go
@@ -208,3 +208,22 @@
 		t.Error("an agent of its own is waited for")
 	}
 }
+
+// The incident of 2026-12-02: the list of one of 35 has been unconfirmed for 3.6 s when a call fails after 0.93 s. The next one
+// has its answer before the list expires. Of a fleet that cannot all be heard in that time nobody hurries.
+func TestAsksAgainBeforeTheListExpires(t *testing.T) {
+	const took, left = 930 * time.Millisecond, 2400 * time.Millisecond
+	for _, c := range []struct {
+		fleet int
+		most  time.Duration
+	}{{3, left - took}, {35, left - took}, {60, left - took}, {300, time.Minute}} {
+		latest := time.Duration(0)
+		for seed := range uint64(200) {
+			p := &Schedule{Fleet: c.fleet, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(seed, 7))}
+			latest = max(latest, p.FailedBefore(took, left))
+		}
+		if latest > c.most || c.fleet == 300 && latest < 2*left {
+			t.Errorf("one of %d asks again up to %v later", c.fleet, latest)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/lease/lease.go
@@ -0,0 +1,54 @@
+// Package lease decides for how long a coordinator may go on sending by a list of nodes that its discovery has not confirmed.
+//
+// A change of the list binds a coordinator some time after discovery had it and could be reached, whether or not the
+// coordinator has heard of it. So each confirmation of the list is a lease for that time. A call that finds discovery down
+// renews it, since nothing binds before discovery can be reached again; one that reaches discovery and fails there does not.
+// Once the lease is over, nothing new may be sent by the list.
+package lease
+
+import (
+	"time"
+
+	"harepass/internal/decide/backoff"
+)
+
+// Lease is that of one list from one service. Times are on any one clock.
+type Lease struct {
+	confirmed time.Duration // what the list lacks was made after this, or could not be had before it
+	period    time.Duration // for how long after that the list holds
+	expires   time.Duration
+}
+
+// Start is the lease of a process that begins with a remembered list and has not asked yet: it is held to that for the time
+// that the settings allow between two calls. Once a call has failed, only the usual period counts.
+func Start(now, listMaxAge time.Duration) Lease {
+	return Lease{confirmed: now, period: backoff.Binds, expires: now + max(listMaxAge, backoff.Binds)}
+}
+
+// Expires is when the list holds no longer.
+func (l *Lease) Expires() time.Duration { return l.expires }
+
+// Confirmed notes that the list was the latest one at a time.
+func (l *Lease) Confirmed(at time.Duration) {
+	l.period = backoff.Binds
+	l.renew(at)
+}
+
+// Unreachable notes that discovery could not be reached by a call that began at a time.
+func (l *Lease) Unreachable(began time.Duration) { l.renew(began) }
+
+// Unanswered notes that a call may have reached discovery and brought nothing.
+func (l *Lease) Unanswered() { l.expires = min(l.expires, l.confirmed+l.period) }
+
+// Moved notes that another service tells the list from a time on: what it has binds sooner, until it has answered.
+func (l *Lease) Moved(at time.Duration) {
+	l.confirmed = min(at, l.confirmed+l.period-backoff.Moved) // what came before is not prolonged
+	l.period = backoff.Moved
+	l.expires = min(l.expires, at+l.period)
+}
+
+// renew counts the period from a time on. Time that the list has already is not taken back: calls may overlap.
+func (l *Lease) renew(from time.Duration) {
+	l.confirmed = max(l.confirmed, from)
+	l.expires = l.confirmed + l.period
+}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -13,14 +12,12 @@
 	"harepass"
 	"harepass/internal/core"
 	"harepass/internal/decide/backoff"
+	"harepass/internal/decide/lease"
 	"harepass/internal/http1"
 )
 
 const listBody = 4 << 20
 
-// errLost tells that a watch is over before its answer, or that nothing has come, not even its end.
-var errLost = errors.New("platform: the watch was lost")
-
 // Source names discovery as a source of nodes.
 const Source = "discovery"
 
@@ -28,7 +25,9 @@
 type Discovery struct {
 	Dial     http1.Dialer // nil for plain TCP
 	Listed   func(harepass.ListScope, []core.Node)
-	Schedule *backoff.Schedule // that of a coordinator which is alone, unless set
+	Leased   func(expires time.Duration) // told until when the list holds, on Clock; nil for nobody
+	Clock    core.Clock                  // the owner's
+	Schedule *backoff.Schedule           // that of a coordinator which is alone, unless set
 
 	address string    // of Run alone, as index is
 	index   int64     // version of the list that the owner has; unknown below 0
@@ -38,6 +37,7 @@
 	asked   chan struct{}
 	moved   chan string // the latest new address that Run has not seen
 	outage  outage
+	lease   lease.Lease
 }
 
 const noIndex = -1
@@ -45,7 +45,7 @@
 // NewDiscovery returns a Discovery for the service at an address; Listed has to be set before Run. The owner is to
 // have been given the known list, if there is one.
 func NewDiscovery(address string, known List) *Discovery {
-	d := &Discovery{address: address, index: noIndex, known: known, asked: make(chan struct{}, 1), moved: make(chan string, 1),
+	d := &Discovery{Clock: core.SystemClock(), address: address, index: noIndex, known: known, asked: make(chan struct{}, 1), moved: make(chan string, 1),
 		Schedule: &backoff.Schedule{Fleet: 1, Rand: rand.New(rand.NewPCG(rand.Uint64(), 0))}}
 	if len(known.Endpoints) > 0 {
 		d.index = known.Index
@@ -83,9 +83,11 @@
 // cannot be relied on, it begins with the whole list: that costs discovery work for each line, and after a common failure all
 // coordinators of a fleet ask at once. A move ends the subscription too, but the next one begins at once, with the
 // whole list: the new service counts by an index of its own. A watch that was lost is opened anew without a word to
-// the owner: what it missed is about to count as told.
+// the owner: what it missed is about to count as told. All the while the owner hears until when its list holds.
 func (d *Discovery) Run(ctx context.Context) {
 	d.known, d.outage.answered = List{}, time.Now()
+	d.lease = lease.Start(d.Clock(), d.Schedule.Told)
+	d.tellLease()
 	var pause time.Duration
 	select {
 	case <-d.asked:
@@ -105,21 +107,40 @@
 		case <-ctx.Done():
 			return
 		}
-		moved, took, err := d.subscription(ctx)
+		moved, failure := d.subscription(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case moved:
 			pause = 0
 			d.move()
-			continue
-		case errors.Is(err, errLost):
-			pause = d.Schedule.Lost()
 		default:
-			pause = d.Schedule.Failed(took)
-			d.Listed(harepass.ListRefused, nil)
+			pause = d.failed(failure)
+			d.outage.failed(failure, d.index, pause, d.lease.Expires()-d.Clock())
 		}
-		d.outage.failed(err, d.index, took, pause)
+	}
+}
+
+// failed takes the end of a subscription in and returns how long to wait before the next one.
+func (d *Discovery) failed(f *listFailure) (pause time.Duration) {
+	switch {
+	case f.unreachable():
+		d.lease.Unreachable(f.began)
+	case !f.watch:
+		d.lease.Unanswered()
+	}
+	d.tellLease()
+	if f.watch {
+		return d.Schedule.Lost()
+	}
+	d.Listed(harepass.ListRefused, nil)
+	return d.Schedule.FailedBefore(f.took, d.lease.Expires()-d.Clock())
+}
+
+// tellLease tells the owner until when its list holds. What an agent of its own has not heard binds nobody.
+func (d *Discovery) tellLease() {
+	if d.Leased != nil && !d.Schedule.Pushed {
+		d.Leased(d.lease.Expires())
 	}
 }
 
@@ -127,12 +148,13 @@
 func (d *Discovery) move() {
 	d.index = noIndex
 	d.Schedule.Move()
+	d.lease.Moved(d.Clock())
+	d.tellLease()
 	slog.Info("discovery moved", "to", d.address)
 }
 
-// subscription serves one subscription on a connection of its own, until a call fails, which then took so long, or discovery
-// moves.
-func (d *Discovery) subscription(ctx context.Context) (moved bool, took time.Duration, err error) {
+// subscription serves one subscription on a connection of its own, until a call fails or discovery moves.
+func (d *Discovery) subscription(ctx context.Context) (moved bool, failure *listFailure) {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &http1.Client{Address: d.address, Dial: d.Dial, Limits: http1.Limits{Head: 16 << 10, Body: listBody}}
 	watching := make(chan struct{})
@@ -145,16 +167,16 @@
 		case <-ctx.Done():
 		}
 	}()
-	took, err = d.follow(ctx, c)
+	failure = d.follow(ctx, c)
 	c.Close()
 	cancel()
 	<-watching
-	return moved, took, err
+	return moved, failure
 }
 
-// follow calls for the list and its changes until a call fails; took is for how long that waited in vain. What cannot be
-// used is not taken over, and the next call asks for the whole list.
-func (d *Discovery) follow(ctx context.Context, c *http1.Client) (took time.Duration, err error) {
+// follow calls for the list and its changes until a call fails. What cannot be used is not taken over, and the next call
+// asks for the whole list.
+func (d *Discovery) follow(ctx context.Context, c *http1.Client) *listFailure {
 	for watch := false; ; watch = true {
 		target, limit := "/registry/instances", d.Schedule.Answer()
 		hold, silence := d.Schedule.Watch()
@@ -165,19 +187,16 @@
 		default: // so that its answer tells at once what is new, or that nothing is
 			target = d.since(time.Millisecond)
 		}
-		began := time.Now()
+		began := d.Clock()
 		data, err := call(ctx, c, target, limit)
-		took = time.Since(began)
-		if err != nil && watch {
-			return took, fmt.Errorf("%w after %v: %w", errLost, took.Round(time.Millisecond), err)
-		}
+		took := d.Clock() - began
 		if err != nil {
-			return took, err
+			return &listFailure{watch, began, took, err}
 		}
 		list, nodes, err := d.read(data)
 		if err != nil {
 			d.index = noIndex
-			return 0, err
+			return &listFailure{false, began, 0, err}
 		}
 		d.Schedule.Served()
 		d.outage.served(list.Index)
@@ -194,9 +213,14 @@
 		if changed || !watch { // else the owner has it, and knows that it is told of changes
 			d.Listed(scope, nodes)
 		}
+		if watch && !changed && took >= hold { // there was nothing newer at its end
+			began += hold
+		}
+		d.lease.Confirmed(began)
+		d.tellLease()
 		if watch && !changed {
 			if err := rest(ctx, d.Schedule.Renew(took)); err != nil {
-				return 0, err
+				return &listFailure{watch, d.Clock(), 0, err}
 			}
 		}
 	}
@@ -242,6 +266,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if m.Status == 503 {
+		return nil, errUnavailable
+	}
 	if m.Status != 200 {
 		return nil, fmt.Errorf("platform: discovery answered %d", m.Status)
 	}
--- a/internal/platform/discovery_log.go
+++ b/internal/platform/discovery_log.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"errors"
 	"log/slog"
 	"time"
 
@@ -16,10 +15,10 @@
 )
 
 var (
-	listCallsServed  = counters.New("list_calls", "served")
-	listWatchesLost  = counters.New("list_calls", "watch_lost")
-	listFailedAtOnce = counters.New("list_calls", "failed_at_once")
-	listFailedLate   = counters.New("list_calls", "failed_late")
+	listCallsServed = counters.New("list_calls", "served")
+	listWatchesLost = counters.New("list_calls", "watch_lost")
+	listUnreachable = counters.New("list_calls", "unreachable")
+	listUnanswered  = counters.New("list_calls", "unanswered")
 )
 
 // outage is a time without an answer of discovery, for the log.
@@ -28,19 +27,19 @@
 	failures int       // since then
 }
 
-// failed logs the end of a subscription whose last call took so long, and when the next one begins.
-func (o *outage) failed(err error, version int64, took, pause time.Duration) {
+// failed logs the end of a subscription, when the next one begins, and how long the list holds still.
+func (o *outage) failed(f *listFailure, version int64, pause, holds time.Duration) {
 	o.failures++
 	switch {
-	case errors.Is(err, errLost):
+	case f.watch:
 		listWatchesLost.Inc()
-	case took < slowFailure:
-		listFailedAtOnce.Inc()
+	case f.unreachable():
+		listUnreachable.Inc()
 	default:
-		listFailedLate.Inc()
+		listUnanswered.Inc()
 	}
-	slog.Info("discovery lost", "err", err, "took", took.Round(time.Millisecond), "version", version, "failures", o.failures,
-		"list_age", time.Since(o.answered).Round(time.Millisecond), "next_call_in", pause.Round(time.Millisecond))
+	slog.Info("discovery lost", "err", f, "took", f.took.Round(time.Millisecond), "version", version, "failures", o.failures,
+		"list_age", time.Since(o.answered).Round(time.Millisecond), "next_call_in", pause.Round(time.Millisecond), "list_expires_in", holds.Round(time.Millisecond))
 }
 
 // served notes an answer, and logs the end of an outage.
--- /dev/null
+++ b/internal/platform/list_failure.go
@@ -0,0 +1,60 @@
+package platform
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"time"
+)
+
+// errUnavailable is discovery's answer that it is down, or that a call has waited too long.
+var errUnavailable = errors.New("platform: discovery answered 503")
+
+// listFailure is a call to discovery that brought no list.
+type listFailure struct {
+	watch bool
+	began time.Duration // on the owner's clock
+	took  time.Duration
+	err   error
+}
+
+func (f *listFailure) Error() string {
+	if f.watch {
+		return fmt.Sprintf("platform: the watch was lost after %v: %v", f.took.Round(time.Millisecond), f.err)
+	}
+	return f.err.Error()
+}
+
+func (f *listFailure) Unwrap() error { return f.err }
+
+// unreachable tells whether the call has found discovery down: nobody took the connection, or it was turned away at once.
+// One that waited first has reached a service which could not serve it, and a watch that ends says nothing of other calls.
+func (f *listFailure) unreachable() bool {
+	var op *net.OpError
+	if errors.As(f.err, &op) && op.Op == "dial" {
+		return !localFault(f.err)
+	}
+	return !f.watch && f.took < slowFailure && turnedAway(f.err)
+}
+
+// turnedAway tells whether a call ended without any byte of a list.
+func turnedAway(err error) bool {
+	for _, end := range []error{errUnavailable, io.EOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
+// localFault tells whether a connection could not be had for want of something on this machine.
+func localFault(err error) bool {
+	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN} {
+		if errors.Is(err, lack) {
+			return true
+		}
+	}
+	return false
+}
