Half of the drain rule's grace goes to the list's lease

Change: the settings' stop_sending_within_us is read (DrainGrace) and half of it prolongs the lease; the other half is for a coordinator that is held up.

--- a/api.go
+++ b/api.go
@@ -35,6 +35,7 @@
 
 	Subscribe  bool          // the list must be asked for
 	ListMaxAge time.Duration // an unsubscribed root that asks less often is deemed told anyway
+	DrainGrace time.Duration // after the word that a replica drains or is gone, it may be sent to for so long
 
 	Cold   Cold
 	Budget *Budget // nil where further attempts are not rationed
--- a/cmd/harepass/wiring.go
+++ b/cmd/harepass/wiring.go
@@ -92,6 +92,7 @@
 	p.disc = platform.NewDiscovery(p.config.Discovery, known)
 	p.disc.Schedule = &backoff.Schedule{Fleet: p.settings.Roots, Told: p.settings.ListMaxAge, Pushed: p.pushed,
 		Rand: rand.New(rand.NewPCG(p.seed, scheduleStream))}
+	p.disc.Grace = p.settings.DrainGrace
 	cfg.Subscribe = p.disc.Subscribe
 }
 
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -15,14 +15,22 @@
 // Lease is that of one list from one service. Times are on any one clock.
 type Lease struct {
 	confirmed time.Duration // what the list lacks was made after this, or could not be had before it
-	period    time.Duration // for how long after that the list holds
+	period    time.Duration // after that, what was made binds
+	grace     time.Duration // for how long sends may go on then
 	expires   time.Duration
 }
 
+// spareShare is the share of the rule's own grace that sends may use up: the rest is for a coordinator that is held up between
+// its clock and its sockets.
+const spareShare = 0.5
+
 // Start is the lease of a process that begins with a remembered list and has not asked yet: it is held to that for the time
-// that the settings allow between two calls. Once a call has failed, only the usual period counts.
-func Start(now, listMaxAge time.Duration) Lease {
-	return Lease{confirmed: now, period: backoff.Binds, expires: now + max(listMaxAge, backoff.Binds)}
+// that the settings allow between two calls. Once a call has failed, only the usual period counts. Grace is for how long the
+// rule allows sends to a node after the word that it drains.
+func Start(now, listMaxAge, grace time.Duration) Lease {
+	l := Lease{confirmed: now, period: backoff.Binds, grace: time.Duration(spareShare * float64(grace))}
+	l.expires = now + max(listMaxAge, backoff.Binds) + l.grace
+	return l
 }
 
 // Expires is when the list holds no longer.
@@ -38,17 +46,17 @@
 func (l *Lease) Unreachable(began time.Duration) { l.renew(began) }
 
 // Unanswered notes that a call may have reached discovery and brought nothing.
-func (l *Lease) Unanswered() { l.expires = min(l.expires, l.confirmed+l.period) }
+func (l *Lease) Unanswered() { l.expires = min(l.expires, l.confirmed+l.period+l.grace) }
 
 // Moved notes that another service tells the list from a time on: what it has binds sooner, until it has answered.
 func (l *Lease) Moved(at time.Duration) {
 	l.confirmed = min(at, l.confirmed+l.period-backoff.Moved) // what came before is not prolonged
 	l.period = backoff.Moved
-	l.expires = min(l.expires, at+l.period)
+	l.expires = min(l.expires, at+l.period+l.grace)
 }
 
 // renew counts the period from a time on. Time that the list has already is not taken back: calls may overlap.
 func (l *Lease) renew(from time.Duration) {
 	l.confirmed = max(l.confirmed, from)
-	l.expires = l.confirmed + l.period
+	l.expires = l.confirmed + l.period + l.grace
 }
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -27,6 +27,7 @@
 	Listed   func(harepass.ListScope, []core.Node)
 	Leased   func(expires time.Duration) // told until when the list holds, on Clock; nil for nobody
 	Clock    core.Clock                  // the owner's
+	Grace    time.Duration               // that the rule on draining nodes leaves
 	Schedule *backoff.Schedule           // that of a coordinator which is alone, unless set
 
 	address string    // of Run alone, as index is
@@ -86,7 +87,7 @@
 // the owner: what it missed is about to count as told. All the while the owner hears until when its list holds.
 func (d *Discovery) Run(ctx context.Context) {
 	d.known, d.outage.answered = List{}, time.Now()
-	d.lease = lease.Start(d.Clock(), d.Schedule.Told)
+	d.lease = lease.Start(d.Clock(), d.Schedule.Told, d.Grace)
 	d.tellLease()
 	var pause time.Duration
 	select {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -28,6 +28,7 @@
 		OverShareWorth: f.optFloat("over_share_worth", 1),
 		Subscribe:      f.get("discovery") == "ask",
 		ListMaxAge:     f.optUS("rules.ask_every_us"),
+		DrainGrace:     f.optUS("rules.stop_sending_within_us"),
 		Cold: harepass.Cold{
 			Start:      f.optFloat("rules.start_capacity", 1),
 			WarmWithin: f.optUS("rules.warm_within_us"),
