What timers say is checked against the sockets: no request lost by a coordinator held up

A read deadline, Shutdown, making way and the surplus of idle connections closed connections whose request lay unread in the socket or read and unannounced; an attempt began by a departure that no goroutine had seen yet; the listener closed over its backlog; queries open at SIGTERM kept times past the kill; frames told the deadline of the decision. Change: only a connection's reader ends an idle one, after asking the system (internal/socket, ppoll); attempts ask it whether the client has left; the backlog is accepted first; open queries end by the drain's end; Remaining words the deadline.

--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -241,9 +241,7 @@
 	if p.socket == 0 {
 		time.Sleep(acceptAfterTerm)
 	}
-	for _, l := range p.listens {
-		l.Close()
-	}
+	p.stopAccepting()
 	for _, s := range p.servers {
 		s.Drain()
 	}
@@ -258,6 +256,18 @@
 	slog.Info("stopped")
 }
 
+// stopAccepting closes the listeners. Connections that wait at one of our own are taken first; those at a socket that the
+// platform holds are for the process which takes over.
+func (p *program) stopAccepting() {
+	for i, l := range p.listens {
+		if p.socket == 0 {
+			p.servers[i].Finish(l)
+		} else {
+			l.Close()
+		}
+	}
+}
+
 func (p *program) coreLimits() core.Limits {
 	return core.Limits{Open: p.caps.Open, Shards: p.caps.Shards, Drain: p.drainTime()}
 }
--- a/internal/core/begin.go
+++ b/internal/core/begin.go
@@ -30,9 +30,9 @@
 type permit struct {
 	stage atomic.Int32
 	clock Clock
-	until time.Duration   // no first byte from then on: its client gives up
-	again time.Duration   // no first byte after this: where an earlier attempt may have run, the end of the window for repeats
-	gone  <-chan struct{} // closed when its client has left
+	until time.Duration // no first byte from then on: its client gives up
+	again time.Duration // no first byte after this: where an earlier attempt may have run, the end of the window for repeats
+	query *Query        // whose client may have left
 }
 
 // Begin tells a caller, which is about to write an attempt's first byte, whether it may. It does not block, so it may be
@@ -53,20 +53,30 @@
 
 // barred is the counter of what keeps an attempt from beginning, apart from its stage; nil where nothing does.
 func (p *permit) barred() *counters.Counter {
-	if p.clock != nil {
-		switch now := p.clock(); {
-		case now >= p.until:
-			return withheldTimeOver
-		case now > p.again:
-			return withheldNoRepeat
-		}
+	if p.clock == nil {
+		return nil
 	}
-	if closed(p.gone) {
+	switch now := p.clock(); {
+	case now >= p.until:
+		return withheldTimeOver
+	case now > p.again:
+		return withheldNoRepeat
+	case p.query.abandoned(now):
 		return withheldClientLeft
 	}
 	return nil
 }
 
+// Remaining is the time that a node is told: until the attempt's time-out, and no more than its client has left. It is to be
+// asked when the attempt's frame is worded, for the attempt may have waited since it was decided.
+func (at *Attempt) Remaining() time.Duration {
+	p := &at.permit
+	if p.clock == nil {
+		return at.Timeout
+	}
+	return min(at.sent+at.Timeout, p.until) - p.clock()
+}
+
 // withhold keeps an attempt from beginning. False means that it has begun.
 func (at *Attempt) withhold() bool { return at.permit.stage.CompareAndSwap(waiting, withheld) }
 
@@ -84,7 +94,7 @@
 // again for a time only, inside that.
 func (o *Owner) permitted(at *Attempt) {
 	p := at.part
-	at.permit.clock, at.permit.until, at.permit.again, at.permit.gone = o.cfg.Clock, p.q.Until, resend.Always, p.q.gone
+	at.permit.clock, at.permit.until, at.permit.again, at.permit.query = o.cfg.Clock, p.q.Until, resend.Always, p.q.Query
 	for _, earlier := range p.attempts[:at.no] {
 		if !earlier.never {
 			at.permit.again = min(at.permit.again, p.q.resend.Until(earlier.sent))
--- a/internal/core/phase.go
+++ b/internal/core/phase.go
@@ -1,5 +1,12 @@
 package core
 
+import (
+	"maps"
+	"slices"
+
+	"harepass"
+)
+
 // Phase is where the program stands between start and exit.
 type Phase int32
 
@@ -33,11 +40,26 @@
 	stopping struct{}
 )
 
-// apply also bounds the time of what is taken from now on, for the end is near.
+// apply also bounds the time of what is open and of what is taken from now on, for the end is near.
 func (draining) apply(o *Owner) {
 	o.to(Draining)
-	if o.set().limits.Drain > 0 && o.drainEnd == 0 {
-		o.drainEnd = o.now + o.set().limits.Drain
+	if o.set().limits.Drain == 0 || o.drainEnd > 0 {
+		return
+	}
+	o.drainEnd = o.now + o.set().limits.Drain
+	o.deadlines.add(o.drainEnd, o.endOpen)
+	for _, id := range slices.Sorted(maps.Keys(o.queries)) {
+		if q := o.queries[id]; q.Until > o.drainEnd {
+			o.deadlines.remove(q.due)
+			q.due = o.deadlines.add(o.drainEnd+overdue, func() { o.overdue(q) })
+		}
+	}
+}
+
+// endOpen has the module end what is open, with what has come in: the platform is about to kill this process.
+func (o *Owner) endOpen() {
+	for _, id := range slices.Sorted(maps.Keys(o.queries)) {
+		o.events = append(o.events, harepass.QueryDue{ID: id})
 	}
 }
 
--- a/internal/core/query.go
+++ b/internal/core/query.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"harepass"
@@ -32,7 +33,11 @@
 	Parts    []Part
 	Done     func(Answer)
 
-	gone <-chan struct{} // closed when its client has left; nil where that is told by Gone alone
+	ClientLeft func() bool // asks the system, without waiting, whether its client has left; nil where that cannot be told
+
+	gone      <-chan struct{} // closed when its client has left; nil where that is told by Gone alone
+	leftAsked atomic.Int64    // when ClientLeft was asked last
+	left      atomic.Bool     // it said yes
 }
 
 // Part is a query's share in one shard.
@@ -96,6 +101,30 @@
 	left      struct{ q *Query }
 )
 
+// leftAskedEvery is how seldom the system is asked whether a client has left: it has to be known 100 ms after the event, and
+// a query of many parts begins them all at once.
+const leftAskedEvery = 20 * time.Millisecond
+
+// abandoned tells whether a query's client has left, by word of whoever reads its connection or by the system's own. It does
+// not block, and may be called from any goroutine.
+func (q *Query) abandoned(now time.Duration) bool {
+	if closed(q.gone) || q.left.Load() {
+		return true
+	}
+	if q.ClientLeft == nil {
+		return false
+	}
+	if asked := time.Duration(q.leftAsked.Load()); asked > 0 && now-asked < leftAskedEvery {
+		return false
+	}
+	q.leftAsked.Store(int64(now))
+	if q.ClientLeft() {
+		q.left.Store(true)
+		return true
+	}
+	return false
+}
+
 // Submit hands a query over. False means that the owner has no room or has stopped: nothing was taken.
 func (o *Owner) Submit(q *Query) bool {
 	if o.Phase() == Stopped {
@@ -116,7 +145,7 @@
 // apply opens a query, or refuses it where the owner holds as much as it may. Nodes know a part by its query's
 // id, so one that is taken stays so until its client's time is over and no node can still be at it.
 func (m submitted) apply(o *Owner) {
-	if closed(m.q.gone) { // while it was in the queue
+	if m.q.abandoned(o.cfg.Clock()) { // while it was in the queue
 		m.q.Done(Answer{Verdict: Failed})
 		return
 	}
@@ -288,7 +317,7 @@
 	}
 	answers := make(chan Answer, 1)
 	q.Done, q.gone = func(a Answer) { answers <- a }, gone
-	if closed(gone) {
+	if q.abandoned(o.cfg.Clock()) {
 		return Answer{Verdict: Failed}
 	}
 	if !o.Submit(q) {
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"time"
+
+	"harepass/internal/socket"
 )
 
 // Dialer opens a connection to an address.
@@ -64,23 +65,7 @@
 }
 
 // Alive tells whether the idle connection still stands: nothing has come in, not even its end.
-func (cl *Client) Alive() bool {
-	sc, ok := cl.c.(syscall.Conn)
-	if !ok {
-		return cl.c != nil
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = err == syscall.EAGAIN
-		return true
-	})
-	return alive && err == nil
-}
+func (cl *Client) Alive() bool { return cl.c != nil && !socket.Unread(cl.c) }
 
 // Close ends the connection; the next Do opens a new one.
 func (cl *Client) Close() {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"harepass/internal/counters"
+	"harepass/internal/socket"
 )
 
 // This file is a connection of the server: its states, and the requests that are taken off it and answered.
@@ -39,6 +40,31 @@
 	ahead    int           // bytes of the requests that wait behind it
 	since    time.Time     // when it last became idle, or began a request
 	at       *list.Element // among the idle ones
+
+	endReason *counters.Counter // of whoever has asked the reader to end it; nil for nobody
+}
+
+// askToEnd has the reader end an idle connection, under the lock, if it finds nothing on it. Only the reader knows whether a
+// request has come: its bytes may be in the socket still, or read and not yet announced by begin.
+func (c *conn) askToEnd(reason *counters.Counter) {
+	if c.state != taking || c.open > 0 {
+		return
+	}
+	c.endReason = reason
+	c.SetReadDeadline(time.Now())
+}
+
+// endIdle is for the reader, under the lock: nothing has come within the time that a connection may be idle, or until
+// somebody asked for its end.
+func (c *conn) endIdle() {
+	switch {
+	case c.endReason != nil:
+		c.shut(c.endReason)
+	case c.used:
+		c.shut(closedResting)
+	default:
+		c.shut(closedNoRequest)
+	}
 }
 
 // shut begins the end of a connection, under the lock: our side is closed, and the reader takes what still comes, in
@@ -82,11 +108,16 @@
 	if c.open++; c.open == 1 {
 		c.s.busy++
 	}
+	c.endReason = nil
+	c.s.unpart(c)
 	c.rest(false)
 	c.since = time.Now()
 	until := c.since.Add(requestTime)
 	if !c.used {
 		until = c.accepted.Add(requestTime)
+		if least := c.since.Add(lookTime); until.Before(least) { // the first byte was read late
+			until = least
+		}
 	}
 	c.SetReadDeadline(until)
 	return true
@@ -203,19 +234,10 @@
 		m.Close = true
 		c.answer(m)
 		return closedBadRequest
-	case !errors.Is(err, os.ErrDeadlineExceeded):
-		return closedByClient
-	case c.wasUsed():
-		return closedResting
+	case errors.Is(err, errOver):
+		return nil // its end has begun already
 	}
-	return closedNoRequest
-}
-
-// wasUsed tells whether some request has come in whole.
-func (c *conn) wasUsed() bool {
-	c.s.mu.Lock()
-	defer c.s.mu.Unlock()
-	return c.used
+	return closedByClient
 }
 
 // answer writes a whole answer.
@@ -256,6 +278,12 @@
 		return nil, errOver
 	}
 	req, err := r.Read(w)
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.lookAgain(r.Idle()) {
+		req, err = r.Read(w)
+	}
+	if req != nil {
+		req.left = c.Conn
+	}
 	switch {
 	case err == nil && !c.got():
 		return nil, errOver
@@ -267,6 +295,23 @@
 	return req, err
 }
 
+// lookAgain lets what came before a deadline be read after it: the reader may have been held up until then. False means that
+// nothing has come, and an idle connection ends with that, or that the connection is being closed already.
+func (c *conn) lookAgain(idle bool) bool {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	switch {
+	case c.state != taking:
+		return false
+	case socket.Unread(c.Conn):
+		c.SetReadDeadline(time.Now().Add(lookTime))
+		return true
+	case idle && c.open == 0:
+		c.endIdle()
+	}
+	return false
+}
+
 // wait hands a request over; false means that too much waits already.
 func (c *conn) wait(in chan<- incoming, x incoming) bool {
 	c.s.mu.Lock()
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -7,12 +7,14 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/textproto"
 	"slices"
 	"strconv"
 	"strings"
 
 	"harepass/internal/buffer"
+	"harepass/internal/socket"
 )
 
 // Limits bound what a peer may send.
@@ -32,9 +34,14 @@
 	Body           []byte
 	Close          bool // the connection ends after this message
 
-	head bool // the answer to a HEAD: its length is told, its body left out
+	left net.Conn // that a request came on; nil for other messages
+	head bool     // the answer to a HEAD: its length is told, its body left out
 }
 
+// ClientLeft asks the system whether the client that sent a request has closed its side since. It does not wait for the
+// goroutine that reads the connection, which may not have had its turn.
+func (m *Message) ClientLeft() bool { return m.left != nil && socket.PeerEnded(m.left) }
+
 // Error is a fault in what the peer sent, with the status that says so.
 type Error struct {
 	Status int
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -7,10 +7,13 @@
 	"math"
 	"net"
 	"net/textproto"
+	"os"
+	"slices"
 	"sync"
 	"time"
 
 	"harepass/internal/counters"
+	"harepass/internal/socket"
 )
 
 const (
@@ -22,6 +25,7 @@
 	freshTime   = 50 * time.Millisecond   // a new connection's first byte may be on its way for so long
 	acceptPause = 10 * time.Millisecond
 	acceptWords = 10 * time.Second       // between two log lines on accepting
+	lookTime    = 50 * time.Millisecond  // for what was there before a deadline to be read after it
 	lingerTime  = 400 * time.Millisecond // for a peer that is still sending to notice its answer
 	lingerBytes = 1 << 20
 	aheadMost   = 16 // requests that may wait behind the one that is being answered, of one more body's bytes in all
@@ -61,6 +65,11 @@
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded) && socket.Waiting(l):
+			setDeadline(l, lookTime)
+			continue
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return l.Close()
 		case err != nil: // out of descriptors, or the peer was gone already
 			countAcceptFailed.Inc()
 			if time.Since(told) > acceptWords {
@@ -74,6 +83,20 @@
 	}
 }
 
+// Finish has Serve take the connections that wait already, and close the listener then: to close it first would reset them,
+// with the requests that they have brought.
+func (s *Server) Finish(l net.Listener) {
+	if !setDeadline(l, 0) {
+		l.Close()
+	}
+}
+
+// setDeadline bounds how long Serve waits for the next connection; false where a listener cannot do so.
+func setDeadline(l net.Listener, in time.Duration) bool {
+	d, ok := l.(interface{ SetDeadline(time.Time) error })
+	return ok && d.SetDeadline(time.Now().Add(in)) == nil
+}
+
 // start serves a connection; where that is one too many, another makes way for it.
 func (s *Server) start(c *conn) {
 	countAccepted.Inc()
@@ -88,14 +111,14 @@
 	if s.full() {
 		if least := s.least(); least != nil {
 			s.part(least, closedForRoom)
-		} else if len(s.parting) > 0 {
-			s.parting[0].close()
+			s.cut(s.room())
+		} else {
+			s.cut(s.room() - 1)
 		}
-		s.cut()
 	}
 	s.conns[c] = struct{}{}
-	if s.down { // accepted in the moment in which the listener was closed
-		c.shut(closedAtShutdown)
+	if s.down { // it waited in the backlog: its request has come or is on the way
+		c.SetReadDeadline(c.accepted.Add(lookTime))
 	}
 	s.wg.Go(c.serve)
 }
@@ -111,13 +134,18 @@
 		}
 		s.part(least, closedForRoom)
 	}
-	s.cut()
+	s.cut(s.room())
 }
 
 // cut ends connections that make way, the longest first, where they are too many still; under the lock.
-func (s *Server) cut() {
-	for s.held() > s.room() && len(s.parting) > 0 {
-		s.parting[0].close()
+func (s *Server) cut(most int) {
+	for _, c := range slices.Clone(s.parting) {
+		if s.held() <= most {
+			return
+		}
+		if c.state != taking || !socket.Unread(c.Conn) {
+			c.close()
+		}
 	}
 }
 
@@ -144,7 +172,7 @@
 	for c := range s.conns {
 		waited, r := time.Since(c.since), 1
 		switch {
-		case c.whole > 0 || c.open > 0 && waited < stallTime || !c.used && waited < freshTime:
+		case c.whole > 0 || c.open > 0 && (waited < stallTime || socket.Unread(c.Conn)) || !c.used && waited < freshTime:
 			continue
 		case waited >= stallTime && (!c.used || c.open > 0):
 			r = 0
@@ -179,15 +207,14 @@
 	s.mu.Unlock()
 }
 
-// Shutdown closes what is idle and waits for the rest. The listener has to be closed before.
+// Shutdown closes what is idle and waits for the rest. The listener has to be closed before. A connection on which a request
+// has come that was not read yet is not idle: it ends with the answer to that.
 func (s *Server) Shutdown() {
 	s.Drain()
 	s.mu.Lock()
 	s.down = true
 	for c := range s.conns {
-		if c.open == 0 {
-			c.shut(closedAtShutdown)
-		}
+		c.askToEnd(closedAtShutdown)
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
@@ -196,11 +223,24 @@
 // part lets a connection make way, under the lock.
 func (s *Server) part(c *conn, reason *counters.Counter) {
 	s.forget(c)
-	if c.shut(reason); c.state != over {
+	if c.open > 0 { // half a request, which does not go on
+		c.shut(reason)
+	} else {
+		c.askToEnd(reason)
+	}
+	if c.state != over {
 		s.parting = append(s.parting, c)
 	}
 }
 
+// unpart keeps a connection that was to make way, under the lock: a request has come on it.
+func (s *Server) unpart(c *conn) {
+	if i := slices.Index(s.parting, c); i >= 0 {
+		s.parting = slices.Delete(s.parting, i, i+1)
+		s.conns[c] = struct{}{}
+	}
+}
+
 // forget takes a connection off the books, under the lock.
 func (s *Server) forget(c *conn) {
 	c.rest(false)
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -159,7 +159,7 @@
 		timeout = ix.deadline
 	}
 	return &core.Query{ID: fmt.Sprintf("%016x", rand.Uint64()), Class: ix.Class, Tenant: tenant, Until: f.Clock() + timeout,
-		Keys: req.Header[resend.Header], Admitted: true}
+		Keys: req.Header[resend.Header], Admitted: true, ClientLeft: req.ClientLeft}
 }
 
 func (f *Front) search(req *http1.Message, name string, params url.Values, gone <-chan struct{}) (*http1.Message, *apiError) {
--- a/internal/opensearch/nodes.go
+++ b/internal/opensearch/nodes.go
@@ -142,14 +142,6 @@
 			return harepass.Moot, nil
 		}
 	}
-	req, ok := n.request(at)
-	if !ok {
-		return harepass.Moot, nil
-	}
-	req.Header.Set("Host", to.Address)
-	if at.Key != "" {
-		req.Header.Set(resend.Header, at.Key)
-	}
 	c, err := n.connect(ctx, nd, to.Address)
 	if err != nil {
 		if ctx.Err() != nil || errors.Is(err, syscall.EMFILE) { // which tells of us, not of the node
@@ -157,10 +149,15 @@
 		}
 		return harepass.ConnectFailed, nil
 	}
-	if !at.Begin() {
+	req, ok := n.request(at) // only now, for it tells the time that is left
+	if !ok || !at.Begin() {
 		n.keep(nd, to.ID, c)
 		return harepass.Moot, nil
 	}
+	req.Header.Set("Host", to.Address)
+	if at.Key != "" {
+		req.Header.Set(resend.Header, at.Key)
+	}
 	m, written, err := c.Do(ctx, req)
 	var spoilt *http1.Error
 	switch {
@@ -237,7 +234,7 @@
 
 func searchRequest(ix *Index, at *core.Attempt, body []byte) *http1.Message {
 	return request("POST", fmt.Sprintf("/%s/_search?preference=_shards:%d&allow_partial_search_results=false&timeout=%dms",
-		url.PathEscape(ix.name), at.Shard, max(1, at.Timeout.Milliseconds())), body)
+		url.PathEscape(ix.name), at.Shard, max(1, at.Remaining().Milliseconds())), body)
 }
 
 func reportRequest(r *report, at *core.Attempt) *http1.Message {
@@ -246,7 +243,7 @@
 		op = "_create"
 	}
 	return request("PUT", fmt.Sprintf("/%s/%s/%s?routing=%d&timeout=%dms",
-		url.PathEscape(r.index.name), op, url.PathEscape(r.id), r.section, max(1, at.Timeout.Milliseconds())), r.doc)
+		url.PathEscape(r.index.name), op, url.PathEscape(r.id), r.section, max(1, at.Remaining().Milliseconds())), r.doc)
 }
 
 func request(method, target string, body []byte) *http1.Message {
--- a/internal/platform/frame.go
+++ b/internal/platform/frame.go
@@ -52,7 +52,7 @@
 
 // appendPart writes one part of a call.
 func appendPart(b []byte, at *core.Attempt) []byte {
-	b = fmt.Appendf(b, "%s %d d=%d", partID(at), at.Shard, max(1, at.Timeout.Milliseconds()))
+	b = fmt.Appendf(b, "%s %d d=%d", partID(at), at.Shard, max(1, at.Remaining().Milliseconds()))
 	if at.Key != "" {
 		b = fmt.Appendf(b, ",k=%s", at.Key)
 	}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -114,7 +114,7 @@
 		}
 	}
 	q := &core.Query{ID: req.Header.Get("X-Call-Id"), Class: req.Header.Get("X-Call-Class"),
-		Tenant: req.Header.Get("X-Caller"), Retry: req.Header.Get("X-Again") == "1", Keys: req.Header[resend.Header]}
+		Tenant: req.Header.Get("X-Caller"), Retry: req.Header.Get("X-Again") == "1", Keys: req.Header[resend.Header], ClientLeft: req.ClientLeft}
 	budget, err := parseBudget(req.Header.Get("X-Budget"))
 	if err != nil {
 		return nil, err
--- a/internal/platform/node_reader.go
+++ b/internal/platform/node_reader.go
@@ -11,8 +11,12 @@
 	"time"
 
 	"harepass/internal/buffer"
+	"harepass/internal/socket"
 )
 
+// lookTime is how long bytes may take to be read that were there before a deadline.
+const lookTime = 50 * time.Millisecond
+
 // read takes answers until the connection ends, or until it is of no more use. An answer that has begun has
 // to come in whole within a time, so that one which never ends does not hold up those behind it.
 func (c *nodeConn) read(conn net.Conn) {
@@ -44,6 +48,8 @@
 		}
 		_, err := b.Fill(conn)
 		switch late := errors.Is(err, os.ErrDeadlineExceeded); {
+		case late && socket.Unread(conn): // we were held up: what came in time counts
+			conn.SetReadDeadline(time.Now().Add(lookTime))
 		case late && b.Len() > 0:
 			c.spoil(b.Bytes(), errors.New("platform: frame does not end"))
 			return
