Soak of real processes with judged clients, troubles drawn from seeds, and lab soak

Cause: the earlier scenarios excused a request whose connection ended as long as no node had been asked, held nodes' drains only against what discovery had written, and had no client that leaves; so neither broken rule of the incident could show.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -27,7 +27,7 @@
 func main() {
 	if err := root().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "lab:", err)
-		if errors.Is(err, lab.ErrMissed) || errors.Is(err, scale.ErrMissed) {
+		if errors.Is(err, lab.ErrMissed) || errors.Is(err, scale.ErrMissed) || errors.Is(err, rigplay.ErrBroken) {
 			os.Exit(1)
 		}
 		os.Exit(2)
@@ -37,7 +37,7 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Emulated map nodes, and experiments on the coordinator",
 		SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(runCommand(), nodesCommand(), mountainCommand(), loadCommand(), reportCommand(), logsCommand(), upgradesCommand(), fleetCommand(), coordinatorCommand(),
+	c.AddCommand(runCommand(), nodesCommand(), mountainCommand(), loadCommand(), reportCommand(), logsCommand(), upgradesCommand(), fleetCommand(), soakCommand(), coordinatorCommand(),
 		capacityHelperCommand(), capacityPageCommand(), scaleCommand(), hollowCommand())
 	return c
 }
@@ -168,6 +168,20 @@
 	return c
 }
 
+func soakCommand() *cobra.Command {
+	s := rigplay.Soak{}
+	c := &cobra.Command{Use: "soak", Short: "Plays fleets of real processes under troubles drawn from seeds; exits 1 where something broke", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return s.Play(cmd.OutOrStdout()) }}
+	c.Flags().StringVar(&s.Program, "program", "bin/harepass", "the built program")
+	c.Flags().StringVar(&s.Settings, "settings", "deploy/settings.example.json", "file of the site's settings")
+	c.Flags().Uint64Var(&s.First, "first", 1, "the first seed")
+	c.Flags().IntVar(&s.Seeds, "seeds", 50, "how many seeds")
+	c.Flags().IntVar(&s.AtOnce, "at-once", 1, "how many fleets side by side")
+	c.Flags().StringSliceVar(&s.Only, "only", nil, "kinds of steps to keep: discovery, hold, kill, link, node, reload, term")
+	c.Flags().StringVar(&s.Timeline, "timelines", "", "folder for the timelines of seeds that broke something")
+	return c
+}
+
 func coordinatorCommand() *cobra.Command {
 	return &cobra.Command{Use: coordinator.ServeCommand, Hidden: true, Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/internal/rig/crowd.go
+++ b/internal/rig/crowd.go
@@ -61,6 +61,16 @@
 	c.wg.Wait()
 }
 
+// ended tells whether the crowd is to end.
+func (c *Crowd) ended() bool {
+	select {
+	case <-c.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // Outcomes of requests besides the status of an answer.
 const (
 	OutcomeRefused = "refused" // the connection never came up
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -41,7 +41,10 @@
 	records  records
 	opened   endpoints
 
+	background sync.WaitGroup // planned restarts and holds
+
 	mu           sync.Mutex
+	failures     []error         // of what runs in the background
 	startupTimes []time.Duration // of each process: from its start until it serves
 	peakMemoryKB []int           // of each process
 }
--- a/internal/rig/http_client.go
+++ b/internal/rig/http_client.go
@@ -16,7 +16,10 @@
 const shareSlack = 1e-3
 
 // request words the question, as clients do: equal weights, rounded, and the key where its class has one.
-func (q question) request(id, tenant string) string {
+func (q question) request(id, tenant string) string { return q.requestWithin(budget, id, tenant) }
+
+// requestWithin words it for a client that waits so long.
+func (q question) requestWithin(budget time.Duration, id, tenant string) string {
 	var parts []string
 	for _, s := range q.sections {
 		parts = append(parts, fmt.Sprintf(`{"slice":%d,"mass":%.6f}`, s, 1/float64(len(q.sections))))
@@ -36,6 +39,11 @@
 	in      *bufio.Reader
 }
 
+// take makes a connection the one that is kept.
+func (client *httpClient) take(conn net.Conn) {
+	client.conn, client.in = conn, bufio.NewReader(conn)
+}
+
 func (client *httpClient) disconnect() {
 	if client.conn != nil {
 		client.conn.Close()
@@ -47,16 +55,22 @@
 // does not come up, and empty where nothing that is an answer came.
 func (client *httpClient) roundTrip(text string) (a answer, status string, err error) {
 	if client.conn == nil {
-		if client.conn, err = net.DialTimeout("tcp", client.address, giveUp); err != nil {
-			client.conn = nil
+		conn, err := net.DialTimeout("tcp", client.address, giveUp)
+		if err != nil {
 			return a, OutcomeRefused, err
 		}
-		client.in = bufio.NewReader(client.conn)
+		client.take(conn)
 	}
 	client.conn.SetDeadline(time.Now().Add(giveUp))
 	if _, err := io.WriteString(client.conn, text); err != nil {
 		return a, "", err
 	}
+	return client.answer()
+}
+
+// answer reads the answer to what was sent.
+func (client *httpClient) answer() (a answer, status string, err error) {
+	client.conn.SetDeadline(time.Now().Add(giveUp))
 	res, err := http.ReadResponse(client.in, nil)
 	if err != nil {
 		return a, "", err
--- a/internal/rig/layout.go
+++ b/internal/rig/layout.go
@@ -36,6 +36,9 @@
 		all["discovery"], rules["ask_every_us"] = "ask", askEvery.Microseconds()
 	}
 	family["positions"], family["reach"], family["shards"] = s.cells(), s.reach(), s.sections()
+	if s.Deadline > 0 {
+		s.shorten(all)
+	}
 	for key, value := range s.Overrides.Caps {
 		caps[key] = value
 	}
@@ -45,6 +48,18 @@
 	return s.Overrides.classes(all, family)
 }
 
+// shorten gives all classes the scenario's deadline.
+func (s *Scenario) shorten(all map[string]any) {
+	classes, _ := all["classes"].([]any)
+	for _, raw := range classes {
+		if c, ok := raw.(map[string]any); ok {
+			aim, _ := c["objective_us"].(float64)
+			c["hard_limit_us"] = s.Deadline.Microseconds()
+			c["objective_us"] = min(int64(aim), s.Deadline.Microseconds()/2)
+		}
+	}
+}
+
 // classes sets what is said of single classes.
 func (o Overrides) classes(all, family map[string]any) ([]byte, error) {
 	classes, _ := all["classes"].([]any)
--- a/internal/rig/member.go
+++ b/internal/rig/member.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,11 @@
 	startedAt time.Time
 	knownSize int // size of the fleet in its configuration
 	paused    bool
+
+	latest   atomic.Pointer[Process] // the last one that was started
+	ending   atomic.Bool             // by a planned restart, whose goroutine alone has the process until it serves again
+	turnedTo atomic.Int64            // when it was told to end last, in Unix nanoseconds: clients open no connections long after that
+	killedAt atomic.Int64            // when it was killed last without a warning
 }
 
 // openMember reserves a coordinator's address and opens its links to the nodes and to discovery.
@@ -96,6 +102,7 @@
 		return err
 	}
 	m.Process, m.paused, m.startedAt = p, false, time.Now()
+	m.latest.Store(p)
 	f.records.started(m)
 	f.Note("rig", "%s started as process %d, one of %d", m.name, p.Process.Pid, m.knownSize)
 	return nil
@@ -111,6 +118,7 @@
 	f.mu.Unlock()
 	if m.crowd == nil {
 		m.crowd = newCrowd(f.Clients, m.listen, f.site.tenant, f.records.sent, func(who, i int) question { return f.site.ask(who, i, f.sections()) })
+		f.startJudged(m)
 	}
 	return nil
 }
@@ -142,7 +150,7 @@
 func (f *Fleet) startAll(which []int) error {
 	var some []*Member
 	for _, i := range which {
-		if m := f.members[i]; m.Process == nil {
+		if m := f.members[i]; !m.ending.Load() && m.Process == nil {
 			if err := f.startMember(m); err != nil {
 				return err
 			}
@@ -160,6 +168,7 @@
 // kill ends a process at once. What it had heard and not answered is lost.
 func (f *Fleet) kill(m *Member) {
 	f.recordPeakMemory(m)
+	m.killedAt.Store(time.Now().UnixNano())
 	m.Process.Process.Kill()
 	<-m.Over
 	m.Process = nil
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -106,5 +106,6 @@
 	n.mu.Unlock()
 	if status != "" {
 		f.registry.Put(e)
+		f.records.listsNode(n, status)
 	}
 }
--- a/internal/rig/play.go
+++ b/internal/rig/play.go
@@ -6,6 +6,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"harepass/internal/standin"
 )
 
 // Play plays the scenario and returns what did not hold. The timeline tells the rest.
@@ -25,6 +27,9 @@
 	}
 	time.Sleep(f.Lasts - time.Since(began))
 	f.healAll()
+	if err := f.awaitBackground(); err != nil {
+		return err
+	}
 	err := f.awaitWholeSummaries()
 	for _, m := range f.members {
 		if m.crowd != nil {
@@ -39,6 +44,16 @@
 	switch {
 	case st.Kill != "":
 		return f.eachRunning(st.Kill, "kill", func(m *Member) error { f.kill(m); return nil })
+	case st.Hold != "":
+		f.hold(st.Hold, st.For)
+		return nil
+	case st.Reload != "":
+		return f.eachRunning(st.Reload, "reload", f.reload)
+	case st.Term != "":
+		return f.eachRunning(st.Term, "terminate", func(m *Member) error { f.terminate(m, st.For); return nil })
+	case st.Discovery != "":
+		f.setDiscovery(st.Discovery)
+		return nil
 	case st.Stop != "":
 		return f.eachRunning(st.Stop, "stop", f.stop)
 	case st.Pause != "":
@@ -63,7 +78,7 @@
 func (f *Fleet) eachRunning(patterns, action string, act func(*Member) error) error {
 	for _, i := range match(patterns, "c", len(f.members)) {
 		m := f.members[i]
-		if m.Process == nil {
+		if m.ending.Load() || m.Process == nil {
 			continue
 		}
 		f.Note("rig", "%s %s", action, m.name)
@@ -163,11 +178,14 @@
 // healAll ends all faults: links are whole, nodes sound, and who was paused goes on.
 func (f *Fleet) healAll() {
 	f.Note("rig", "all faults end")
+	if f.registry.Mode() != standin.RegistrySound {
+		f.setDiscovery(discoverySound)
+	}
 	for _, m := range f.members {
 		for _, k := range append([]*Link{m.discovery}, m.links...) {
 			k.Mend()
 		}
-		if m.Process != nil && m.paused {
+		if !m.ending.Load() && m.Process != nil && m.paused {
 			f.resume(m)
 		}
 	}
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -25,6 +25,9 @@
 	Sets         []int         `yaml:"sets"`     // where nodes form sets that hold the same sections: how many each has
 	Push         bool          `yaml:"push"`     // lists come to an agent of each coordinator's own
 	Overrides    Overrides     `yaml:"settings"` // that differ from the site's
+	Deadline     time.Duration `yaml:"deadline"` // of all classes; as in the site's settings where it is 0
+	Judged       int           `yaml:"judged"`   // clients of each coordinator that also leave, rest and stall, and excuse nothing but a kill
+	Idle         int           `yaml:"idle"`     // connections to each coordinator that bring nothing
 	Lost         int           `yaml:"lost"`     // requests that may be heard and never answered, by coordinators that are killed
 	Steps        []Step        `yaml:"steps"`
 }
@@ -41,6 +44,13 @@
 	Resume string `yaml:"resume"` // SIGCONT
 	Start  string `yaml:"start"`  // again, with what is known by then
 
+	Hold   string        `yaml:"hold"`   // SIGSTOP for a moment (For), as on busy cores: no rule is eased for it
+	Reload string        `yaml:"reload"` // SIGHUP
+	Term   string        `yaml:"term"`   // SIGTERM, SIGKILL as soon as the platform may, and a start a time (For) after the end
+	For    time.Duration `yaml:"for"`
+
+	Discovery string `yaml:"discovery"` // sound, down, crowded or silent from now on
+
 	Grow int    `yaml:"grow"` // or shrink, to so many coordinators; the last ones are stopped
 	Told string `yaml:"told"` // who hears of the size now, by a reload; all others do at the next such step
 
@@ -85,7 +95,7 @@
 		return fmt.Errorf("coordinators: %d; from 1 to 40 can be started", s.Coordinators)
 	case s.Nodes < holdersPerSection || s.Nodes > 60:
 		return fmt.Errorf("nodes: %d; from %d to 60 can be", s.Nodes, holdersPerSection)
-	case s.Clients < 1:
+	case s.Clients+s.Judged < 1:
 		return fmt.Errorf("clients: %d; at least one has to ask", s.Clients)
 	case len(s.Sets) > 0 && sum(s.Sets) != s.Nodes:
 		return fmt.Errorf("sets: %v have %d nodes, not %d", s.Sets, sum(s.Sets), s.Nodes)
@@ -110,7 +120,7 @@
 			patterns string
 			letter   string
 			n        int
-		}{{st.Kill, "c", most}, {st.Stop, "c", most}, {st.Pause, "c", most}, {st.Resume, "c", most}, {st.Start, "c", most}, {st.Told, "c", most}, {st.Node, "n", s.Nodes}} {
+		}{{st.Hold, "c", most}, {st.Reload, "c", most}, {st.Term, "c", most}, {st.Kill, "c", most}, {st.Stop, "c", most}, {st.Pause, "c", most}, {st.Resume, "c", most}, {st.Start, "c", most}, {st.Told, "c", most}, {st.Node, "n", s.Nodes}} {
 			if names.patterns != "" && len(match(names.patterns, names.letter, names.n)) == 0 {
 				return fmt.Errorf("step %d at %v: nothing is named like %q", i+1, st.At, names.patterns)
 			}
@@ -121,7 +131,7 @@
 
 func (st Step) check() error {
 	n := 0
-	for _, set := range []bool{st.Kill != "", st.Stop != "", st.Pause != "", st.Resume != "", st.Start != "", st.Grow > 0, st.Link != "", st.Node != ""} {
+	for _, set := range []bool{st.Hold != "", st.Reload != "", st.Term != "", st.Discovery != "", st.Kill != "", st.Stop != "", st.Pause != "", st.Resume != "", st.Start != "", st.Grow > 0, st.Link != "", st.Node != ""} {
 		if set {
 			n++
 		}
@@ -146,6 +156,10 @@
 		return fmt.Errorf("becomes %q is none of %s", st.Becomes, strings.ReplaceAll(strings.Trim(fmt.Sprint(nodeStates), "[]"), " ", ", "))
 	case st.Node == "" && st.Becomes != "":
 		return fmt.Errorf("no node is named")
+	case st.Discovery != "" && !slices.Contains(discoveryModes, st.Discovery):
+		return fmt.Errorf("discovery %q is none of %v", st.Discovery, discoveryModes)
+	case st.Hold == "" && st.Term == "" && st.For > 0:
+		return fmt.Errorf("for goes with hold and term")
 	case st.Grow == 0 && st.Told != "":
 		return fmt.Errorf("told goes with grow")
 	}
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -38,7 +38,45 @@
 	mu      sync.Mutex
 	index   int64
 	entries map[string]Entry
-	changed chan struct{}
+	changed chan struct{} // closed and made anew at each change, of an entry or of the mode
+	mode    RegistryMode
+}
+
+// RegistryMode is how a Registry treats calls.
+type RegistryMode string
+
+// The modes of a Registry.
+const (
+	RegistrySound   RegistryMode = ""
+	RegistryDown    RegistryMode = "down"    // standing watches end, and each call is turned away at once
+	RegistryCrowded RegistryMode = "crowded" // standing watches say nothing, and each call waits and is reset
+	RegistrySilent  RegistryMode = "silent"  // no call and no watch is answered
+)
+
+// crowdedWait is how long a crowded Registry lets a call wait.
+const crowdedWait = time.Second
+
+// SetMode changes how calls are treated from now on.
+func (r *Registry) SetMode(mode RegistryMode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mode = mode
+	r.notify()
+}
+
+// Mode is how calls are treated.
+func (r *Registry) Mode() RegistryMode {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mode
+}
+
+// notify wakes all watches, under the lock.
+func (r *Registry) notify() {
+	if r.changed != nil {
+		close(r.changed)
+	}
+	r.changed = make(chan struct{})
 }
 
 // Put adds an entry or changes it.
@@ -46,13 +84,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.entries == nil {
-		r.entries, r.changed = map[string]Entry{}, make(chan struct{})
+		r.entries = map[string]Entry{}
 	}
 	r.index++
 	e.version = r.index
 	r.entries[e.Name] = e
-	close(r.changed)
-	r.changed = make(chan struct{})
+	r.notify()
 }
 
 // List is what is newer than a version, or all below 0, for a caller that reaches nodes at addresses of its own; and what is
@@ -79,11 +116,17 @@
 		}
 		hold, _ := strconv.Atoi(req.URL.Query().Get("hold_ms"))
 		end := time.After(time.Duration(hold) * time.Millisecond)
+		if refuse(w, req, r.Mode(), false) {
+			return
+		}
 		for {
 			list, changed := r.List(from, address)
 			if hold > 0 && from >= 0 && len(list.Endpoints) == 0 {
 				select {
 				case <-changed:
+					if refuse(w, req, r.Mode(), true) {
+						return
+					}
 					continue
 				case <-req.Context().Done():
 					return
@@ -101,3 +144,36 @@
 		}
 	}))
 }
+
+// refuse treats a call, or a watch that stands, as a mode says; false lets it be answered.
+func refuse(w http.ResponseWriter, req *http.Request, mode RegistryMode, stands bool) bool {
+	switch {
+	case mode == RegistrySound:
+		return false
+	case mode == RegistryDown:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case mode == RegistryCrowded && !stands:
+		select {
+		case <-time.After(crowdedWait):
+			reset(w)
+		case <-req.Context().Done():
+		}
+	default:
+		<-req.Context().Done()
+	}
+	return true
+}
+
+// reset breaks a call's connection.
+func reset(w http.ResponseWriter) {
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	if c, _, err := h.Hijack(); err == nil {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+}
