Calls leave connections that their node has ended; a reload tunes how discovery is asked

Cause, looked for as the same mistake elsewhere: a call was written to an idle connection whose end lay unread in the socket, which is a reset after which a report may have run; and the schedule of calls to discovery went by the fleet's size, the list's age and the grace of the start, whatever a reload said. Change: the writer asks the socket where nothing is out on the connection, and what is queued goes elsewhere as never begun; Discovery.Tune.

--- a/cmd/harepass/reload.go
+++ b/cmd/harepass/reload.go
@@ -12,6 +12,7 @@
 
 	"harepass/internal/core"
 	"harepass/internal/decide/reload"
+	"harepass/internal/platform"
 	"harepass/internal/wire"
 )
 
@@ -54,6 +55,9 @@
 	if p.watch != nil {
 		p.watch.Reclass(p.settings)
 	}
+	if p.disc != nil {
+		p.disc.Tune(platform.Tuning{Fleet: p.settings.Roots, ListMaxAge: p.settings.ListMaxAge, Grace: p.settings.DrainGrace})
+	}
 	if p.disc != nil && next.config.Discovery != p.config.Discovery {
 		p.disc.Move(next.config.Discovery)
 	}
--- a/internal/core/lease_test.go
+++ b/internal/core/lease_test.go
@@ -62,3 +62,14 @@
 		t.Error("an attempt begins by an expired list")
 	}
 }
+
+// BenchmarkExpiry is the two turns in which a list of 3,200 nodes expires and is confirmed.
+func BenchmarkExpiry(b *testing.B) {
+	r := newFleetRig(b, 3200)
+	for b.Loop() {
+		r.Leased("test", r.clock+ms)
+		r.pass(ms)
+		r.Leased("test", r.clock+time.Hour)
+		r.pass(0)
+	}
+}
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -33,6 +33,9 @@
 	return l
 }
 
+// Regrace takes over another grace, from the next news on.
+func (l *Lease) Regrace(grace time.Duration) { l.grace = time.Duration(spareShare * float64(grace)) }
+
 // Expires is when the list holds no longer.
 func (l *Lease) Expires() time.Duration { return l.expires }
 
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/textproto"
+	"sync/atomic"
 	"time"
 
 	"harepass"
@@ -39,6 +40,7 @@
 	moved   chan string // the latest new address that Run has not seen
 	outage  outage
 	lease   lease.Lease
+	changes atomic.Pointer[Tuning] // that Run has not seen
 }
 
 const noIndex = -1
@@ -61,6 +63,24 @@
 	return d.kept
 }
 
+// Tuning is what settings say of the list and of how it is asked for.
+type Tuning struct {
+	Fleet      int           // coordinators that share discovery
+	ListMaxAge time.Duration // as backoff.Schedule.Told
+	Grace      time.Duration // that the rule on draining nodes leaves
+}
+
+// Tune has other settings count from the next call on.
+func (d *Discovery) Tune(t Tuning) { d.changes.Store(&t) }
+
+// takeTuning takes over what Tune has brought.
+func (d *Discovery) takeTuning() {
+	if t := d.changes.Swap(nil); t != nil {
+		d.Schedule.Fleet, d.Schedule.Told = t.Fleet, t.ListMaxAge
+		d.lease.Regrace(t.Grace)
+	}
+}
+
 // Subscribe asks for the list and its changes, from now on for good.
 func (d *Discovery) Subscribe() {
 	select {
@@ -179,6 +199,7 @@
 // asks for the whole list.
 func (d *Discovery) follow(ctx context.Context, c *http1.Client) *listFailure {
 	for watch := false; ; watch = true {
+		d.takeTuning()
 		target, limit := "/registry/instances", d.Schedule.Answer()
 		hold, silence := d.Schedule.Watch()
 		switch {
--- a/internal/platform/node_writer.go
+++ b/internal/platform/node_writer.go
@@ -10,8 +10,13 @@
 	"time"
 
 	"harepass"
+	"harepass/internal/counters"
+	"harepass/internal/socket"
 )
 
+// endedWhileIdle counts connections that nodes had ended when a call was about to be written to them.
+var endedWhileIdle = counters.New("node_connections", "ended_while_idle")
+
 // run connects, writes what is queued, and ends what is left when the connection breaks.
 func (c *nodeConn) run() {
 	defer c.finish()
@@ -97,6 +102,11 @@
 			c.nodes.mu.Unlock()
 			return true
 		}
+		if c.endedIdle(conn) {
+			c.discard()
+			c.nodes.mu.Unlock()
+			return false
+		}
 		call := c.queue[0]
 		c.queue = c.queue[1:]
 		var done *sending
@@ -148,6 +158,17 @@
 	}
 }
 
+// endedIdle tells, under the lock, whether the node has ended the connection while nothing was out on it, and its reader has
+// not had its turn to see that. What is queued has not begun: it goes elsewhere, and says nothing of the node.
+func (c *nodeConn) endedIdle(conn net.Conn) bool {
+	written := slices.ContainsFunc(c.out, func(s *sending) bool { return s.state != queued })
+	if written || !socket.PeerEnded(conn) {
+		return false
+	}
+	endedWhileIdle.Inc()
+	return true
+}
+
 // callFrame is the frame of a call's parts, nil if none is left.
 func callFrame(parts []*sending) []byte {
 	if len(parts) == 0 {
