The time of a pipelined request runs from its coming; fewer doubled loops in cmd/harepass

Cause, the same mistake once more: a request's time was counted from when its turn came, although it may have waited behind the answers before its own, so nodes were told more than the client had left (1,398 ms of 797 ms).

--- a/cmd/harepass/fleet_test.go
+++ b/cmd/harepass/fleet_test.go
@@ -26,25 +26,30 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			f, err := rig.NewFleet(rig.FleetConfig{Dir: t.TempDir(), Command: []string{os.Args[0], "serve"}, Env: []string{"HAREPASS_TEST_RUN=1"}, Settings: settings}, s)
-			if err != nil {
-				t.Fatal(err)
-			}
-			err = f.Play()
-			if err != nil {
-				t.Error(err)
-			}
-			var b strings.Builder
-			f.Summary(&b)
-			t.Log(b.String())
-			if err := f.Close(); err != nil {
-				t.Error(err)
-			}
-			if t.Failed() {
-				b.Reset()
-				f.Print(&b)
-				t.Log(b.String())
-			}
+			playFleet(t, settings, s)
 		})
 	}
 }
+
+// playFleet plays a scenario on processes of the test's own binary, and shows all that happened where something did not hold.
+func playFleet(t *testing.T, settings []byte, s *rig.Scenario) {
+	f, err := rig.NewFleet(rig.FleetConfig{Dir: t.TempDir(), Command: []string{os.Args[0], "serve"}, Env: []string{"HAREPASS_TEST_RUN=1"}, Settings: settings}, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = f.Play()
+	if err != nil {
+		t.Error(err)
+	}
+	var b strings.Builder
+	f.Summary(&b)
+	t.Log(b.String())
+	if err := f.Close(); err != nil {
+		t.Error(err)
+	}
+	if t.Failed() {
+		b.Reset()
+		f.Print(&b)
+		t.Log(b.String())
+	}
+}
--- a/cmd/harepass/relay.go
+++ b/cmd/harepass/relay.go
@@ -89,7 +89,7 @@
 	go r.server.Serve(listener)
 	go r.server.LogStatus(ctx, r.file.LogEvery)
 	r.follow(ctx)
-	r.obey(ends, again)
+	untilEnd(ends, again, nil, r.reload, nil)
 	cancel()
 	listener.Close()
 	ended := make(chan struct{})
@@ -116,25 +116,13 @@
 	}
 }
 
-// obey has the files read again at each of some signals until one of the others comes, which goes first.
-func (r *relayProgram) obey(ends, again <-chan os.Signal) {
-	for {
-		select {
-		case <-ends:
-			return
-		default:
-		}
-		select {
-		case <-ends:
-			return
-		case <-again:
-			if r.authority == nil {
-				continue
-			}
-			if err := r.authority.Load(); err != nil {
-				slog.Error("files refused", "err", err)
-			}
-		}
+// reload has the authority read its files again; a relay has none.
+func (r *relayProgram) reload() {
+	if r.authority == nil {
+		return
+	}
+	if err := r.authority.Load(); err != nil {
+		slog.Error("files refused", "err", err)
 	}
 }
 
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -152,24 +152,10 @@
 	return nil
 }
 
-// obey reads the files again at each of some signals, and takes over the settings that relays give out, until one of the
-// other signals comes, which goes first.
+// obey reads the files again at each signal to reload, and takes over the settings that relays give out, until it is told to
+// end.
 func (p *program) obey(ends, again <-chan os.Signal) {
-	for {
-		select {
-		case <-ends:
-			return
-		default:
-		}
-		select {
-		case <-ends:
-			return
-		case <-again:
-			p.reload()
-		case u := <-p.settingsUpdates:
-			p.takeSettings(u)
-		}
-	}
+	untilEnd(ends, again, p.settingsUpdates, p.reload, p.takeSettings)
 }
 
 // clients is how many connections clients may hold; the operators' door has its own beside them.
--- a/internal/decide/backoff/backoff.go
+++ b/internal/decide/backoff/backoff.go
@@ -82,7 +82,7 @@
 			p.patience = took
 		}
 	}
-	allowed := min(p.Told, time.Duration(p.wide)*(Binds-Answer)) // with each failure more, for the service to work off what failed
+	allowed := min(p.Told, time.Duration(p.wide)*Spread) // with each failure more, for the service to work off what failed
 	span := p.within(p.span(p.wide)-p.queue(), p.spread()-again, allowed-again)
 	if left := expiresIn - again - p.turnedAwayAfter(); left > 0 && p.span(1) <= Binds {
 		span = min(span, left)
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -20,21 +20,24 @@
 	expires   time.Duration
 }
 
-// spareShare is the share of the rule's own grace that sends may use up: the rest is for a coordinator that is held up between
-// its clock and its sockets.
-const spareShare = 0.5
+// Of the rule's own grace sends may use up what is not kept for a coordinator that is held up between its clock and its
+// sockets: heldUp, or half of a grace that is short.
+const heldUp = 250 * time.Millisecond
+
+// usable is what sends may use up of a grace.
+func usable(grace time.Duration) time.Duration { return max(grace/2, grace-heldUp) }
 
 // Start is the lease of a process that begins with a remembered list and has not asked yet: it is held to that for the time
 // that the settings allow between two calls. Once a call has failed, only the usual period counts. Grace is for how long the
 // rule allows sends to a node after the word that it drains.
 func Start(now, listMaxAge, grace time.Duration) Lease {
-	l := Lease{confirmed: now, period: backoff.Binds, grace: time.Duration(spareShare * float64(grace))}
+	l := Lease{confirmed: now, period: backoff.Binds, grace: usable(grace)}
 	l.expires = now + max(listMaxAge, backoff.Binds) + l.grace
 	return l
 }
 
 // Regrace takes over another grace, from the next news on.
-func (l *Lease) Regrace(grace time.Duration) { l.grace = time.Duration(spareShare * float64(grace)) }
+func (l *Lease) Regrace(grace time.Duration) { l.grace = usable(grace) }
 
 // Expires is when the list holds no longer.
 func (l *Lease) Expires() time.Duration { return l.expires }
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -282,7 +282,7 @@
 		req, err = r.Read(w)
 	}
 	if req != nil {
-		req.left = c.Conn
+		req.left, req.came = c.Conn, time.Now()
 	}
 	switch {
 	case err == nil && !c.got():
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"harepass/internal/buffer"
 	"harepass/internal/socket"
@@ -34,8 +35,17 @@
 	Body           []byte
 	Close          bool // the connection ends after this message
 
-	left net.Conn // that a request came on; nil for other messages
-	head bool     // the answer to a HEAD: its length is told, its body left out
+	left net.Conn  // that a request came on; nil for other messages
+	came time.Time // when a request was read whole; zero for other messages
+	head bool      // the answer to a HEAD: its length is told, its body left out
+}
+
+// Waited is how long ago a request was read whole: what is pipelined waits for the answers before its own.
+func (m *Message) Waited() time.Duration {
+	if m.came.IsZero() {
+		return 0
+	}
+	return time.Since(m.came)
 }
 
 // ClientLeft asks the system whether the client that sent a request has closed its side since. It does not wait for the
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	q.Until = f.Clock() + budget
+	q.Until = f.Clock() - req.Waited() + budget
 	return q, nil
 }
 
--- a/internal/platform/told_deadline_test.go
+++ b/internal/platform/told_deadline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"harepass"
 	"harepass/internal/core"
+	"harepass/internal/http1"
 	"harepass/internal/standin"
 )
 
@@ -60,3 +62,62 @@
 		t.Errorf("the node was told %q, %v, when its client had %v left", part.list, err, left)
 	}
 }
+
+// The time of a request that is pipelined behind another runs from its coming, not from its turn.
+func TestPipelinedRequestHasWhatIsLeftOfItsTime(t *testing.T) {
+	const budget, first = 1400 * time.Millisecond, 600 * time.Millisecond
+	parts := make(chan standin.Part, 8)
+	fleet := &standin.Fleet{Heard: func(p standin.Part, _ standin.Kind) { parts <- p },
+		Script: func(shard, _ int) standin.Reply {
+			return standin.Reply{After: time.Duration(1-shard) * first} // the first request asks for shard 0
+		}}
+	address := serveBehindOwner(t, fleet)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	until := time.Now().Add(budget)
+	for shard := range 2 {
+		body := fmt.Sprintf(`{"slices":[{"slice":%d,"mass":1}],"filter":"f"}`, shard)
+		fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: q%d\r\nX-Call-Class: c\r\nX-Budget: %dm\r\nContent-Length: %d\r\n\r\n%s", shard, budget.Milliseconds(), len(body), body)
+	}
+	<-parts
+	second := <-parts
+	left := time.Until(until)
+	told, err := strconv.Atoi(strings.TrimPrefix(second.List, "d="))
+	if err != nil || second.ID != "q1.1" || time.Duration(told)*time.Millisecond > left+toldSlack {
+		t.Errorf("the node was told %q for %s, %v, when its client had %v left", second.List, second.ID, err, left)
+	}
+}
+
+// serveBehindOwner serves the platform's protocol before one node, and returns the address.
+func serveBehindOwner(t *testing.T, fleet *standin.Fleet) string {
+	node, clients := listenLocal(t), listenLocal(t)
+	go fleet.Frames(node)
+	nodes := &Nodes{Streams: 32, ConnectTimeout: 5 * time.Second, Quiet: time.Second, KeepAlive: 30 * time.Second}
+	t.Cleanup(nodes.Close)
+	clock := core.SystemClock()
+	settings := harepass.Settings{Roots: 1, Cells: 1, Reach: 1, CallBatch: 1, Turn: time.Millisecond, MaxAttempts: 4, Cancel: true, RetryAdvice: time.Second,
+		Classes: []harepass.Class{{Name: "c", Aim: 1500 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1, Need: 1, Floor: 1}}}
+	owner, err := core.New(core.Config{Seed: 1, Settings: settings, Clock: clock, Callers: map[string]core.Caller{Scheme: nodes}, Subscribe: func() {}, Asked: "test"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	nodes.Owner = owner
+	owner.Listed("test", harepass.ListFull, []core.Node{{Replica: harepass.Replica{ID: "n0", State: harepass.Ready}, Address: node.Addr().String(), Scheme: Scheme}})
+	go owner.Run()
+	t.Cleanup(owner.Stop)
+	server := &http1.Server{Handler: (&Front{Owner: owner, Clock: clock}).Handle, Limits: http1.DefaultLimits}
+	go server.Serve(clients)
+	return clients.Addr().String()
+}
+
+func listenLocal(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
