Backoff: ListMaxAge and binding.go in the place of names that need explaining

Names only: Schedule.Told is the settings' ListMaxAge, told.go says when changes bind. Measured: vet and the tests of backoff, platform and scale pass; no behaviour changes.

--- a/internal/decide/backoff/backoff.go
+++ b/internal/decide/backoff/backoff.go
@@ -4,7 +4,7 @@
 //
 // Coordinators cannot talk to each other. Each draws its own moment from a span that grows with the fleet, so that
 // all of them together stay within what the service can take, and within the time after which what they may have missed
-// counts as told (told.go).
+// counts as told (binding.go).
 package backoff
 
 import (
@@ -23,7 +23,7 @@
 	// atOnce is within what time a service that is down, or turns calls away unseen, answers. What fails later has waited in
 	// vain, for want of capacity.
 	atOnce = 250 * time.Millisecond
-	// A process that has asked for nothing is held to what it was given for Told, and has to have asked well before.
+	// A process that has asked for nothing is held to what it was given for ListMaxAge, and has to have asked well before.
 	firstShare = 0.5
 	// again is the least pause after a failure.
 	again = Binds / 24
@@ -37,10 +37,10 @@
 
 // Schedule is for one coordinator of Fleet.
 type Schedule struct {
-	Fleet  int
-	Told   time.Duration // one that has not asked for so long is taken to know the list all the same; 0 where that is not so
-	Pushed bool          // lists are pushed, to an agent of this coordinator's own
-	Rand   *rand.Rand
+	Fleet      int
+	ListMaxAge time.Duration // one that has not asked for so long is taken to know the list all the same; 0 where that is not so
+	Pushed     bool          // lists are pushed, to an agent of this coordinator's own
+	Rand       *rand.Rand
 
 	moved    bool          // to another service, which has not answered yet
 	wide     int           // the span after failures, in turns of the whole fleet
@@ -52,7 +52,7 @@
 	if p.Pushed {
 		return 0
 	}
-	return p.draw(p.within(p.span(1)-p.queue(), Binds-Answer, scale(p.Told, firstShare)))
+	return p.draw(p.within(p.span(1)-p.queue(), Binds-Answer, scale(p.ListMaxAge, firstShare)))
 }
 
 // Lost is how long to wait before a watch that has fallen silent or was broken is opened anew. It says nothing of the
@@ -82,7 +82,7 @@
 			p.patience = took
 		}
 	}
-	allowed := min(p.Told, time.Duration(p.wide)*Spread) // with each failure more, for the service to work off what failed
+	allowed := min(p.ListMaxAge, time.Duration(p.wide)*Spread) // with each failure more, for the service to work off what failed
 	span := p.within(p.span(p.wide)-p.queue(), p.spread()-again, allowed-again)
 	if left := expiresIn - again - p.turnedAwayAfter(); left > 0 && p.span(1) <= Binds {
 		span = min(span, left)
@@ -111,7 +111,7 @@
 	switch {
 	case p.span(1) <= Binds/2:
 		return min(span, inTime)
-	case p.Told > 0:
+	case p.ListMaxAge > 0:
 		return min(span, max(inTime, allowed))
 	}
 	return span
--- a/internal/decide/backoff/backoff_test.go
+++ b/internal/decide/backoff/backoff_test.go
@@ -101,7 +101,7 @@
 	for _, fleet := range []int{80, 300, 2000} {
 		firsts := [10]int{}
 		for i := range fleet {
-			p := &Schedule{Fleet: fleet, Told: told, Rand: rand.New(rand.NewPCG(uint64(i), 2))}
+			p := &Schedule{Fleet: fleet, ListMaxAge: told, Rand: rand.New(rand.NewPCG(uint64(i), 2))}
 			first := p.First()
 			if first >= told/2 {
 				t.Fatalf("one of %d calls first after %v", fleet, first)
@@ -119,7 +119,7 @@
 			}
 		}
 	}
-	made, had, last := play(300, 10*time.Millisecond, 0, func(p *Schedule) time.Duration { p.Told = told; return p.First() },
+	made, had, last := play(300, 10*time.Millisecond, 0, func(p *Schedule) time.Duration { p.ListMaxAge = told; return p.First() },
 		func(p *Schedule, took time.Duration) time.Duration { return p.Failed(took) })
 	if had != 300 || made > 310 || last > told/2+2*time.Second {
 		t.Errorf("300: %d calls, %d had it, the last after %v", made, had, last)
@@ -143,7 +143,7 @@
 // anew within Spread, and not by all together.
 func TestLostWatchIsOpenedAnew(t *testing.T) {
 	for _, fleet := range []int{1, 80, 300} {
-		p := &Schedule{Fleet: fleet, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(uint64(fleet), 3))}
+		p := &Schedule{Fleet: fleet, ListMaxAge: 10 * time.Second, Rand: rand.New(rand.NewPCG(uint64(fleet), 3))}
 		sum := time.Duration(0)
 		for range 100 {
 			d := p.Lost()
@@ -169,7 +169,7 @@
 		t.Errorf("a service that a reload names is heard of after %v", sum)
 	}
 	for _, fleet := range []int{1, 6, 20, 30} { // whom a service of 0.1 s a call can hear in time
-		p := &Schedule{Fleet: fleet, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(uint64(fleet), 5))}
+		p := &Schedule{Fleet: fleet, ListMaxAge: 10 * time.Second, Rand: rand.New(rand.NewPCG(uint64(fleet), 5))}
 		for i := range 200 {
 			if d := p.Failed(time.Duration(i%3) * time.Second); d < again || d >= Spread {
 				t.Fatalf("one of %d asks again after %v", fleet, d)
@@ -219,7 +219,7 @@
 	}{{3, left - took}, {35, left - took}, {60, left - took}, {300, time.Minute}} {
 		latest, later := time.Duration(0), time.Duration(0)
 		for seed := range uint64(200) {
-			p := &Schedule{Fleet: c.fleet, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(seed, 7))}
+			p := &Schedule{Fleet: c.fleet, ListMaxAge: 10 * time.Second, Rand: rand.New(rand.NewPCG(seed, 7))}
 			latest = max(latest, p.FailedBefore(took, left))
 			p.FailedBefore(took, left)
 			later = max(later, p.FailedBefore(took, left))
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -66,7 +66,7 @@
 // Tuning is what settings say of the list and of how it is asked for.
 type Tuning struct {
 	Fleet      int           // coordinators that share discovery
-	ListMaxAge time.Duration // as backoff.Schedule.Told
+	ListMaxAge time.Duration // as backoff.Schedule.ListMaxAge
 	Grace      time.Duration // that the rule on draining nodes leaves
 }
 
@@ -76,7 +76,7 @@
 // takeTuning takes over what Tune has brought.
 func (d *Discovery) takeTuning() {
 	if t := d.changes.Swap(nil); t != nil {
-		d.Schedule.Fleet, d.Schedule.Told = t.Fleet, t.ListMaxAge
+		d.Schedule.Fleet, d.Schedule.ListMaxAge = t.Fleet, t.ListMaxAge
 		d.lease.Regrace(t.Grace)
 	}
 }
@@ -107,7 +107,7 @@
 // the owner: what it missed is about to count as told. All the while the owner hears until when its list holds.
 func (d *Discovery) Run(ctx context.Context) {
 	d.known, d.outage.answered = List{}, time.Now()
-	d.lease = lease.Start(d.Clock(), d.Schedule.Told, d.Grace)
+	d.lease = lease.Start(d.Clock(), d.Schedule.ListMaxAge, d.Grace)
 	d.tellLease()
 	var pause time.Duration
 	select {
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -340,7 +340,7 @@
 				defer served.Close()
 				d := NewDiscovery("d", List{Index: 7, Endpoints: []Endpoint{{Name: "a", Address: "a:1", Status: "in_service"}}})
 				d.Dial = memory.Dial
-				d.Schedule = &backoff.Schedule{Fleet: 6 + int(seed%3)*8, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(seed, 1))}
+				d.Schedule = &backoff.Schedule{Fleet: 6 + int(seed%3)*8, ListMaxAge: 10 * time.Second, Rand: rand.New(rand.NewPCG(seed, 1))}
 				told := make(chan time.Time, 1)
 				d.Listed = func(scope harepass.ListScope, nodes []core.Node) {
 					if len(nodes) == 1 && nodes[0].State == harepass.Draining {
@@ -407,7 +407,7 @@
 				go next.Serve(memory.Listen("new"))
 				d := NewDiscovery("old", List{Index: 7, Endpoints: []Endpoint{{Name: "a", Address: "a:1", Status: "in_service"}}})
 				d.Dial = memory.Dial
-				d.Schedule = &backoff.Schedule{Fleet: 6 + int(seed%3)*8, Told: 10 * time.Second, Rand: rand.New(rand.NewPCG(seed, 1))}
+				d.Schedule = &backoff.Schedule{Fleet: 6 + int(seed%3)*8, ListMaxAge: 10 * time.Second, Rand: rand.New(rand.NewPCG(seed, 1))}
 				told := make(chan time.Time, 9)
 				d.Listed = func(_ harepass.ListScope, nodes []core.Node) {
 					if len(nodes) > 0 {
--- a/internal/scale/plain.go
+++ b/internal/scale/plain.go
@@ -18,7 +18,7 @@
 func (m *hollow) followPlain(ctx context.Context) {
 	d := platform.NewDiscovery(m.Plain, platform.List{Index: m.Known, Endpoints: []platform.Endpoint{{Name: "known"}}})
 	d.Dial = m.host.dial
-	d.Schedule = &backoff.Schedule{Fleet: m.Fleet, Told: listMaxAge, Rand: rand.New(rand.NewPCG(uint64(m.No), 0x70616365))}
+	d.Schedule = &backoff.Schedule{Fleet: m.Fleet, ListMaxAge: listMaxAge, Rand: rand.New(rand.NewPCG(uint64(m.No), 0x70616365))}
 	d.Listed = func(scope harepass.ListScope, nodes []core.Node) {
 		if scope == harepass.ListRefused {
 			return
