A discovery that answers 503 cannot be reached; the soak's times allow for its own lateness

Change: an explicit 503 renews the lease whatever it took, a late reset or silence does not; recorded times have slack for the rig's measured lateness, and are counted as not judged where that is over 0.15 s.

--- a/internal/platform/list_failure.go
+++ b/internal/platform/list_failure.go
@@ -29,19 +29,23 @@
 
 func (f *listFailure) Unwrap() error { return f.err }
 
-// unreachable tells whether the call has found discovery down: nobody took the connection, or it was turned away at once.
-// One that waited first has reached a service which could not serve it, and a watch that ends says nothing of other calls.
+// unreachable tells whether the call has found that discovery cannot be had: nobody took the connection, discovery itself said
+// that it is unavailable, or the call was turned away at once. One that was taken, waited, and then broke or brought nothing
+// says no such thing, and a watch that ends says nothing of other calls.
 func (f *listFailure) unreachable() bool {
 	var op *net.OpError
 	if errors.As(f.err, &op) && op.Op == "dial" {
 		return !localFault(f.err)
 	}
-	return !f.watch && f.took < slowFailure && turnedAway(f.err)
+	if f.watch {
+		return false
+	}
+	return errors.Is(f.err, errUnavailable) || f.took < slowFailure && turnedAway(f.err)
 }
 
 // turnedAway tells whether a call ended without any byte of a list.
 func turnedAway(err error) bool {
-	for _, end := range []error{errUnavailable, io.EOF, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, end := range []error{io.EOF, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, end) {
 			return true
 		}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -41,6 +41,7 @@
 	records  records
 	opened   endpoints
 
+	lateness   lateness       // of this process
 	background sync.WaitGroup // planned restarts and holds
 
 	mu           sync.Mutex
@@ -64,6 +65,7 @@
 	if f.site, err = readSite(f.Settings); err != nil {
 		return nil, err
 	}
+	f.lateness.begin()
 	f.records.open(f)
 	most := s.Coordinators
 	for _, st := range s.Steps {
@@ -101,6 +103,7 @@
 	for _, m := range f.running() {
 		f.kill(m)
 	}
+	f.lateness.end()
 	err = errors.Join(err, f.opened.close())
 	out, e := os.Create(filepath.Join(f.Dir, "timeline.txt"))
 	if e == nil {
@@ -111,8 +114,8 @@
 
 // Summary says what became of the requests, by how they ended.
 func (f *Fleet) Summary(out io.Writer) {
-	parts, lists := f.records.counts()
-	fmt.Fprintf(out, "%s: requests %v, parts %d, lists told %d\n", f.Name, f.tally(), parts, lists)
+	parts, lists, unjudged := f.records.counts()
+	fmt.Fprintf(out, "%s: requests %v, parts %d, lists told %d, records not judged %d\n", f.Name, f.tally(), parts, lists, unjudged)
 }
 
 // tally is how the requests of all crowds have ended, as Crowd.Tally has it.
