--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -1,8 +1,8 @@
 // Package lease decides for how long a coordinator may go on sending by a list of nodes that its discovery has not confirmed.
 //
 // A change of the list binds a coordinator some time after discovery had it and could be reached, whether or not the
-// coordinator has heard of it. So each confirmation of the list is a lease for that time. A call that finds discovery down
-// renews it, since nothing binds before discovery can be reached again; one that reaches discovery and fails there does not.
+// coordinator has heard of it. So each confirmation of the list is a lease for that time. A call that finds that discovery
+// cannot be had renews it, since nothing binds before it can be reached again; one that breaks or stays silent there does not.
 // Once the lease is over, nothing new may be sent by the list.
 package lease
 
--- a/internal/platform/discovery_log.go
+++ b/internal/platform/discovery_log.go
@@ -11,7 +11,7 @@
 // and how old the list is meanwhile.
 
 const (
-	slowFailure = 250 * time.Millisecond // a call that fails later than this has waited in vain
+	slowFailure = 250 * time.Millisecond // a call that breaks later than this was taken, and waited in vain
 )
 
 var (
