One bound for calls that fail at once

The schedule and the reading of failed calls had a constant each of 250 ms; there is one now. Measured: tests of backoff and platform pass; no behaviour changes.

--- a/internal/decide/backoff/backoff.go
+++ b/internal/decide/backoff/backoff.go
@@ -20,9 +20,9 @@
 	patience = time.Second
 	// queue is the share of that time for which turns may be asked for at once.
 	queue = 0.75
-	// atOnce is within what time a service that is down, or turns calls away unseen, answers. What fails later has waited in
+	// AtOnce is within what time a service that is down, or turns calls away unseen, answers. What fails later has waited in
 	// vain, for want of capacity.
-	atOnce = 250 * time.Millisecond
+	AtOnce = 250 * time.Millisecond
 	// A process that has asked for nothing is held to what it was given for ListMaxAge, and has to have asked well before.
 	firstShare = 0.5
 	// again is the least pause after a failure.
@@ -76,7 +76,7 @@
 		return agentPause
 	}
 	p.wide = max(1, p.wide)
-	if took >= atOnce {
+	if took >= AtOnce {
 		p.wide = min(widen*p.wide, widest)
 		if took < p.Answer() && (p.patience == 0 || took < p.patience) { // it was the service that gave up
 			p.patience = took
--- a/internal/platform/discovery_log.go
+++ b/internal/platform/discovery_log.go
@@ -10,10 +10,6 @@
 // This file is what is counted and logged of discovery: each subscription that failed, until when nothing is asked again,
 // and how old the list is meanwhile.
 
-const (
-	slowFailure = 250 * time.Millisecond // a call that breaks later than this was taken, and waited in vain
-)
-
 var (
 	listCallsServed = counters.New("list_calls", "served")
 	listWatchesLost = counters.New("list_calls", "watch_lost")
--- a/internal/platform/list_failure.go
+++ b/internal/platform/list_failure.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"harepass/internal/decide/backoff"
 )
 
 // errUnavailable is discovery's answer that it is down, or that a call has waited too long.
@@ -40,7 +42,7 @@
 	if f.watch {
 		return false
 	}
-	return errors.Is(f.err, errUnavailable) || f.took < slowFailure && turnedAway(f.err)
+	return errors.Is(f.err, errUnavailable) || f.took < backoff.AtOnce && turnedAway(f.err)
 }
 
 // turnedAway tells whether a call ended without any byte of a list.
