A connection is served when one that makes way has ended, so descriptors hold beside load

Since connections end by their readers, those asked to make way were passed over while bytes lay unread on them, and new ones were taken all the same. Change: a new connection is served once another has made room: its reader ends it, or has a request of it and the next one is asked.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -24,6 +24,7 @@
 	stallTime   = 500 * time.Millisecond  // a request that is not whole after this does not hold its place when others come
 	freshTime   = 50 * time.Millisecond   // a new connection's first byte may be on its way for so long
 	acceptPause = 10 * time.Millisecond
+	roomPause   = time.Millisecond       // for the reader of a connection that is to make way
 	acceptWords = 10 * time.Second       // between two log lines on accepting
 	lookTime    = 50 * time.Millisecond  // for what was there before a deadline to be read after it
 	lingerTime  = 400 * time.Millisecond // for a peer that is still sending to notice its answer
@@ -79,6 +80,9 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		for !s.makeRoom() {
+			time.Sleep(roomPause)
+		}
 		s.start(&conn{Conn: c, s: s})
 	}
 }
@@ -97,7 +101,27 @@
 	return ok && d.SetDeadline(time.Now().Add(in)) == nil
 }
 
-// start serves a connection; where that is one too many, another makes way for it.
+// makeRoom tells whether there is room for one connection more; else it asks the least of them to make way, whose reader ends
+// it or has a request of it, and then another one has to. Those whose end has begun do not count.
+func (s *Server) makeRoom() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	active, asked := len(s.conns), false
+	for _, c := range s.parting {
+		if c.state == taking {
+			active, asked = active+1, true
+		}
+	}
+	if active < s.room() || s.down {
+		return true
+	}
+	if least := s.least(); least != nil && !asked {
+		s.part(least, closedForRoom)
+	}
+	return false
+}
+
+// start serves a connection.
 func (s *Server) start(c *conn) {
 	countAccepted.Inc()
 	c.accepted = time.Now()
@@ -108,14 +132,7 @@
 	if s.conns == nil {
 		s.conns, s.idle = map[*conn]struct{}{}, list.New()
 	}
-	if s.full() {
-		if least := s.least(); least != nil {
-			s.part(least, closedForRoom)
-			s.cut(s.room())
-		} else {
-			s.cut(s.room() - 1)
-		}
-	}
+	s.cut(s.room())
 	s.conns[c] = struct{}{}
 	if s.down { // it waited in the backlog: its request has come or is on the way
 		c.SetReadDeadline(c.accepted.Add(lookTime))
@@ -137,13 +154,13 @@
 	s.cut(s.room())
 }
 
-// cut ends connections that make way, the longest first, where they are too many still; under the lock.
+// cut closes connections whose end has begun, the longest first, where they are too many still; under the lock.
 func (s *Server) cut(most int) {
 	for _, c := range slices.Clone(s.parting) {
 		if s.held() <= most {
 			return
 		}
-		if c.state != taking || !socket.Unread(c.Conn) {
+		if c.state != taking {
 			c.close()
 		}
 	}
