--- a/internal/rig/judged.go
+++ b/internal/rig/judged.go
@@ -136,7 +136,7 @@
 	began := time.Now()
 	j.client.conn.SetReadDeadline(began.Add(badClientEnd + recordSlack))
 	_, err := io.Copy(io.Discard, j.client.conn)
-	if timeout, ok := err.(net.Error); ok && timeout.Timeout() && j.f.lateness.recent() < recordSlack && !j.excused(began) {
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() && !j.excused(began) {
 		j.breach(id, "stalled for %v and was not ended", time.Since(began))
 	}
 	j.client.disconnect()
@@ -187,6 +187,9 @@
 // late tells whether an answer that took so long came too late.
 func (j *judgedClient) late(took time.Duration) bool {
 	slack, ok := j.f.lateness.slack()
+	if !ok {
+		j.f.records.notJudged()
+	}
 	return ok && took > j.budget()+lateAnswer+slack
 }
 
--- a/internal/rig/records.go
+++ b/internal/rig/records.go
@@ -100,7 +100,7 @@
 	// What a fault has held up was sent before it: only what comes on a whole link tells when it was sent.
 	// What discovery has written while its link had a fault arrives when that is over.
 	at, told := r.toldAt(m, n, heard)
-	late := min(time.Since(at), heard) - r.f.site.rules.grace() - linkSlack - onTheWay*r.f.lateness.recent()
+	late := min(time.Since(at), heard) - r.f.site.rules.grace() - linkSlack
 	if told && late > 0 && whole > afterFault && time.Since(r.freshSince[m]) > afterFault {
 		r.breach("%s sent %s to %s %v after it may", m.name, id, n.name, late.Round(time.Millisecond))
 	}
@@ -151,6 +151,13 @@
 	return ""
 }
 
+// notJudged counts a client's time that says nothing, since the rig itself was held up.
+func (r *records) notJudged() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unjudged++
+}
+
 // asks notes a client's request, and that it has left.
 func (r *records) asks(query string, until time.Time) {
 	r.mu.Lock()
