KNOWN-RED: the crowded-discovery test failed once, untraced; test addresses are apart

Cause: not known. Suspected: its reserved port was taken by another parallel test, for all shared one loopback address.

--- a/cmd/harepass/limits_test.go
+++ b/cmd/harepass/limits_test.go
@@ -51,15 +51,13 @@
 	return settings
 }
 
-// apart finds an address that somebody can listen on later: not on the loopback address from which everybody's connections
-// come, where one of these might take the port meanwhile.
+// apart finds an address that somebody can listen on later: each on a loopback address of its own, where nobody else's port is.
 func apart(t *testing.T) string {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.%d:0", os.Getpid()/250%250, 1+os.Getpid()%250))
+	address, err := rig.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // newSmall makes nodes, and a configuration for a process that knows them; it starts nothing.
