opensearch: a search beyond the result window no longer ends the process

Cause: from + size was compared with the result window before either was bounded; the sum overflowed and the page was cut at a negative index.

Each bound is parsed by itself and is at most the window, so the sum of two cannot overflow. Other numbers from outside were looked through: those of http1, frames, budgets, time-outs, shards, relays and the inventory are bounded where they are parsed or only compared.

--- a/internal/opensearch/search.go
+++ b/internal/opensearch/search.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"net/url"
 	"slices"
 	"strconv"
@@ -135,19 +136,16 @@
 		}
 		return strings.Trim(string(body[key]), `"`)
 	}
-	for key, field := range map[string]*int{"from": &s.from, "size": &s.size} {
-		if v := get(key); v != "" {
-			n, err := strconv.Atoi(v)
-			if err != nil || n < 0 {
-				return badRequestf(typeIllegalArgument, "[%s] parameter cannot be [%s]", key, v)
-			}
-			*field = n
-		}
+	var err error
+	if s.from, err = parseWindowBound("from", get("from"), 0); err != nil {
+		return err
+	}
+	if s.size, err = parseWindowBound("size", get("size"), defaultSize); err != nil {
+		return err
 	}
 	if s.from+s.size > maxResultWindow {
-		return badRequestf(typeIllegalArgument, "result window is too large: from + size is over [%d]", maxResultWindow)
+		return errResultWindow()
 	}
-	var err error
 	if s.timeout, err = parseTimeout(get("timeout")); err != nil {
 		return err
 	}
@@ -161,6 +159,27 @@
 	return nil
 }
 
+// parseWindowBound reads a bound of the result window, from or size; fallback is its value where the client gives none.
+// A bound is at most maxResultWindow, so that the sum of two cannot overflow.
+func parseWindowBound(key, v string, fallback int) (int, error) {
+	if v == "" {
+		return fallback, nil
+	}
+	n, err := strconv.Atoi(v)
+	switch {
+	case errors.Is(err, strconv.ErrRange) && !strings.HasPrefix(v, "-"), err == nil && n > maxResultWindow:
+		return 0, errResultWindow()
+	case err != nil || n < 0:
+		return 0, badRequestf(typeIllegalArgument, "[%s] parameter cannot be [%s]", key, v)
+	}
+	return n, nil
+}
+
+// errResultWindow is the error of a search for hits beyond the result window.
+func errResultWindow() error {
+	return badRequestf(typeIllegalArgument, "result window is too large: from + size is over [%d]", maxResultWindow)
+}
+
 // maxTimeout bounds a time-out, so that no number of units overflows; the class's deadline is far below it.
 const maxTimeout = 24 * time.Hour
 
--- a/internal/opensearch/search_test.go
+++ b/internal/opensearch/search_test.go
@@ -100,3 +100,31 @@
 		})
 	}
 }
+
+// A page whose bounds alone are beyond the result window is refused with 400, however their sum comes out in the
+// machine's integers, and the process goes on.
+func TestPageBeyondResultWindowIsRefused(t *testing.T) {
+	for _, tc := range []struct{ params, body string }{
+		{"?from=9223372036854775807", ""},
+		{"?size=9223372036854775807", ""},
+		{"?from=9999999999999999999999", ""},
+		{"?from=-9999999999999999999999", ""},
+		{"?from=9223372036854775807&size=9223372036854775807", ""},
+		{"", `{"from":5000000000000000000,"size":5000000000000000000}`},
+		{"", `{"from":"9223372036854775800","size":10}`},
+		{"?from=10001&size=0", ""},
+		{"?from=9991&size=10", ""},
+	} {
+		withAPIFront(t, served, func(fx *frontFixture) {
+			if status, _, data := fx.do("POST", "/trails/_search"+tc.params, tc.body, nil); status != 400 {
+				t.Errorf("%s %s: %d %s", tc.params, tc.body, status, data)
+			}
+			if seen := fx.fleet.Received(); len(seen) > 0 {
+				t.Errorf("%s %s: replicas were sent %q", tc.params, tc.body, seen)
+			}
+			if status, _, data := fx.do("GET", "/trails/_search?from=9990", "", nil); status != 200 {
+				t.Errorf("the largest page: %d %s", status, data)
+			}
+		})
+	}
+}
