failover: a source left as stale is followed again only once clearly fresh

Seen: a reader of relays whose region was cut off went to a nearer source that was just not stale, and back 0.35 s later.

Cause: one threshold for leaving and for returning. A source that is cut off grows staler by the second, so one that is just not stale is left again.

A source that was left or turned down as Stale is marked until its staleness is at most half of the threshold. In a region that is cut off every nearer source has been turned down above that, so the reader cannot go back.

--- a/internal/decide/failover/candidate.go
+++ b/internal/decide/failover/candidate.go
@@ -27,6 +27,7 @@
 	returnAt     time.Duration // earliest instant at which a reader of a farther source probes it
 	serving      bool          // the source has answered since it was last followed
 	servingSince time.Duration // instant of its first answer since it was last followed
+	lagging      bool          // it was left or turned down as Stale, and has not been clearly fresh since
 }
 
 // succeeded records a good answer.
@@ -51,7 +52,9 @@
 // failing one, so its backoff does not grow.
 func (c *candidate) failed(now time.Duration, reason Reason, rng *rand.Rand) {
 	delay := backoffs[reason].delay(c.failures, rng)
-	if reason != Stale {
+	if reason == Stale {
+		c.lagging = true
+	} else {
 		c.failures = min(c.failures+1, maxFailures)
 	}
 	c.rejections = 0
--- a/internal/decide/failover/freshness.go
+++ b/internal/decide/failover/freshness.go
@@ -7,7 +7,8 @@
 	// else is configured. New does not apply it: the caller passes it to SetStaleAfter.
 	DefaultStaleAfter = 1500 * time.Millisecond
 	// clearlyFresher is by how much the staleness of another source has to be less for the reader to follow it, as a
-	// share of the staleness from which on a source is stale. Readers do not change sources for less.
+	// share of the staleness from which on a source is stale. Readers do not change sources for less. A source that was
+	// stale has to be so much below that staleness before it counts as fresh again.
 	clearlyFresher = 0.5
 )
 
@@ -21,9 +22,20 @@
 	return f.staleAfter > 0 && staleness > f.staleAfter
 }
 
+// margin is the difference of stalenesses for which readers change sources.
+func (f *freshness) margin() time.Duration {
+	return time.Duration(clearlyFresher * float64(f.staleAfter))
+}
+
 // isClearlyFresher reports whether a source of a staleness is worth leaving the current, stale one for.
 func (f *freshness) isClearlyFresher(staleness time.Duration) bool {
-	return staleness <= f.staleness-time.Duration(clearlyFresher*float64(f.staleAfter))
+	return staleness <= f.staleness-f.margin()
+}
+
+// isClearlyFresh reports whether a source of a staleness is far from being stale. One that is cut off from the
+// authority grows staler by the second, so one that is just not stale may be about to be.
+func (f *freshness) isClearlyFresh(staleness time.Duration) bool {
+	return staleness <= f.staleAfter-f.margin()
 }
 
 // SetStaleAfter sets the staleness from which on a source is stale; 0 for never.
@@ -39,6 +51,9 @@
 func (s *Selector) RecordStaleness(now, staleness time.Duration) {
 	wasStale := s.Stale()
 	s.freshness.staleness = staleness
+	if s.current != none && s.freshness.isClearlyFresh(staleness) {
+		s.candidates[s.current].lagging = false
+	}
 	if s.Stale() && !wasStale {
 		s.search = probeSearch{nextProbe: now + draw(s.rand, firstProbeSpread)}
 	}
--- a/internal/decide/failover/freshness_test.go
+++ b/internal/decide/failover/freshness_test.go
@@ -165,3 +165,30 @@
 		}
 	}
 }
+
+// A nearer source was left because it was stale. It answers its probes and is just not stale any more, which one that is
+// cut off can be for a moment only. The reader returns to it once it is far from being stale, so that it does not go
+// back and forth.
+func TestReturnsToLaggingSourceOnceClearlyFresh(t *testing.T) {
+	s, now, near := leftStaleNearer(t)
+	staleness := staleAfter
+	for probes := 0; probes < 5; now += 100 * ms {
+		s.RecordStaleness(now, 0)
+		source, ok := s.Nearer(now)
+		if !ok {
+			continue
+		}
+		if probes++; s.ProbeSucceeded(now, source, staleness) {
+			t.Fatalf("at %v it returns to a source of staleness %v", now, staleness)
+		}
+		staleness = staleAfter/2 + ms
+	}
+	for ; ; now += 100 * ms {
+		if source, ok := s.Nearer(now); ok {
+			if source != near || !s.ProbeSucceeded(now, source, staleAfter/2) {
+				t.Error("it does not return to a clearly fresh one")
+			}
+			return
+		}
+	}
+}
--- a/internal/decide/failover/probes.go
+++ b/internal/decide/failover/probes.go
@@ -33,8 +33,9 @@
 //
 //   - A stale current source is left for one that is clearly fresher. The one of the two that is not followed is backed
 //     off as Stale. Sources that are about as stale as each other are never exchanged.
-//   - A current source that is not stale is left for a nearer one that is not stale either. A probed one that is stale
-//     is backed off as Stale; a farther one, and the current source, are left as they are.
+//   - A current source that is not stale is left for a nearer one that is not stale either. A nearer one that was left or
+//     turned down as Stale has to be clearly fresh: it would soon be left again. A probed one that is stale, or still
+//     lags so, is backed off as Stale; a farther one, and the current source, are left as they are.
 //
 // It is false, and nothing is recorded, where the probed source is not known or is the current one by now, or where the
 // reader has no source: its next one is FollowNext's to choose.
@@ -52,13 +53,17 @@
 		s.choose(i)
 		return true
 	}
-	if s.freshness.isStale(staleness) {
-		s.candidates[i].failed(now, Stale, s.rand)
-		return false
+	probed := &s.candidates[i]
+	if s.freshness.isClearlyFresh(staleness) {
+		probed.lagging = false
 	}
-	if s.candidates[i].distance >= s.candidates[s.current].distance {
+	nearer := probed.distance < s.candidates[s.current].distance
+	switch {
+	case s.freshness.isStale(staleness), nearer && probed.lagging:
+		probed.failed(now, Stale, s.rand)
 		return false
+	case nearer:
+		s.choose(i)
 	}
-	s.choose(i)
-	return true
+	return nearer
 }
