opensearch: a replica's 409 or 400 reaches the client however it is laid out

Callers saw: a document that the replica had refused with 409 was answered with 201 "created", and the body of a 400 to a search became one of its hits, where the replica's JSON did not begin with {"error" or lacked status. The other way round a text of a replica that speaks frames and reads like an error was told to the client as its own fault.

Cause: the status of the replica's answer was dropped with the message, and guessed from the first bytes of the value later.

The attempt now carries the status of a fault beside its value (core.Attempt.FaultStatus), and the answer one for each part; nothing is guessed from bytes.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -74,9 +74,10 @@
 // has ended the first phase instead, and the parts that are still deferred are released.
 func (c *Coordinator) answerQuery(a scatter.Answer) {
 	if q := c.open.byID[a.Query]; q != nil {
-		answer := Answer{Complete: a.Complete, Values: make([][]byte, len(q.parts)), Pruned: make([]bool, len(q.parts))}
+		answer := Answer{Complete: a.Complete, Values: make([][]byte, len(q.parts)), Pruned: make([]bool, len(q.parts)),
+			Faults: make([]int, len(q.parts))}
 		for i, p := range q.parts {
-			answer.Values[i], answer.Pruned[i] = p.value, p.pruned
+			answer.Values[i], answer.Pruned[i], answer.Faults[i] = p.value, p.pruned, p.faultStatus
 		}
 		c.finish(q, answer)
 	}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -25,6 +25,9 @@
 
 	// Evidence is set by the Caller before AttemptEnded, where FirstPhase or WithVersion asked for it.
 	Evidence twophase.Evidence
+	// FaultStatus is set by the Caller before AttemptEnded, where the replica has found a fault in the request itself: the
+	// HTTP status of its answer, which is the attempt's value. 0 for any other value.
+	FaultStatus int
 
 	part         *part
 	number       int             // place among the part's attempts, from 0; it equals the module's index of the attempt
@@ -134,7 +137,7 @@
 	}
 	succeeded := outcome == scatter.Succeeded
 	if succeeded && !at.FirstPhase {
-		c.recordValue(at.part, value)
+		c.recordValue(at.part, value, at.FaultStatus)
 	}
 	latency := max(0, when-at.sentAt)
 	countOutcome(outcome)
@@ -145,12 +148,12 @@
 	c.open.removePart(at.part)
 }
 
-// recordValue records the first value of a part; later ones are dropped.
-func (c *Coordinator) recordValue(p *part, value []byte) {
+// recordValue records the first value of a part, with the status of a fault that it tells; later ones are dropped.
+func (c *Coordinator) recordValue(p *part, value []byte, faultStatus int) {
 	if p.value != nil {
 		return
 	}
-	p.value = value
+	p.value, p.faultStatus = value, faultStatus
 	if c.open.isOpen(p.query) {
 		c.open.addBytes(p.query, int64(len(value)))
 	}
--- a/internal/core/query.go
+++ b/internal/core/query.go
@@ -56,6 +56,7 @@
 	Complete   bool          // Served: the module counts the answer as complete
 	Values     [][]byte      // Served: an entry for each part; nil where no value came in
 	Pruned     []bool        // Served: an entry for each part; true where the first phase gave the value
+	Faults     []int         // Served: an entry for each part; Attempt.FaultStatus of its value
 	RetryAfter time.Duration // Rejected: the client should wait as long before a retry; 0 for no advice
 	Reason     string        // Invalid: what is wrong, for the client
 }
@@ -83,6 +84,8 @@
 	value    []byte     // what the shard answered; nil before the answer is in
 	attempts []*Attempt // all attempts of the part, in the order of their numbers
 
+	faultStatus int // Attempt.FaultStatus of the value
+
 	full           *part // set in a first phase: the part in full that it goes ahead of
 	firstPhasePart *part // set in a part in full while its first phase is under way
 	deferred       bool  // the part is not to be sent before its first phase has ended or has had its time
--- a/internal/opensearch/document_answer.go
+++ b/internal/opensearch/document_answer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 
+	"harepass/internal/core"
 	"harepass/internal/http1"
 )
 
@@ -25,10 +26,11 @@
 // documentReply is the answer to a document that was served: 201 for a new one, 200 for one that replaced another, and
 // replicaFault's for one that the replica found at fault. A replica that offers the API words the body itself; for
 // other replicas the document counts as new.
-func documentReply(doc *document, value []byte) *http1.Message {
-	if m := replicaFault(value); m != nil {
+func documentReply(doc *document, a core.Answer) *http1.Message {
+	if m := replicaFault(a); m != nil {
 		return m
 	}
+	value := a.Values[0]
 	var stored struct {
 		Result string `json:"result"`
 	}
@@ -50,17 +52,12 @@
 }
 
 // replicaFault returns the answer to a request in which a replica that offers the API has found a fault, as the replica
-// words it. It is nil for a value that is no such error.
-func replicaFault(value []byte) *http1.Message {
-	var fault struct {
-		Error  json.RawMessage `json:"error"`
-		Status int             `json:"status"`
-	}
-	if !bytes.HasPrefix(value, []byte(`{"error"`)) || json.Unmarshal(value, &fault) != nil {
-		return nil
-	}
-	if fault.Status != http.StatusBadRequest && fault.Status != http.StatusConflict {
-		return nil
+// words it. It is nil where none has.
+func replicaFault(a core.Answer) *http1.Message {
+	for i, status := range a.Faults {
+		if status != 0 {
+			return jsonReply(status, json.RawMessage(a.Values[i]))
+		}
 	}
-	return jsonReply(fault.Status, json.RawMessage(value))
+	return nil
 }
--- a/internal/opensearch/front_query.go
+++ b/internal/opensearch/front_query.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return documentReply(doc, a.Values[0]), nil
+	return documentReply(doc, a), nil
 }
 
 // indexAndTenant returns the index of a name, and the tenant of the request's client.
--- a/internal/opensearch/replica_answer.go
+++ b/internal/opensearch/replica_answer.go
@@ -28,7 +28,8 @@
 	Result   string          `json:"result"`
 }
 
-// recordAnswer sets the attempt's evidence, if it asked for any, and returns its outcome and value.
+// recordAnswer sets the attempt's evidence, if it asked for any, and the status of a fault that the replica has found in
+// the request, and returns its outcome and value.
 //
 // A search that asks for evidence has an aggregation of the coordinator's own beside the client's query, so a 400 may
 // be the fault of either, and must not reach the client as if the client had worded all of it. In a first phase it
@@ -37,7 +38,11 @@
 // the replica's 400.
 func recordAnswer(at *core.Attempt, m *http1.Message) (scatter.Outcome, []byte) {
 	if !at.FirstPhase && !at.WithVersion {
-		return outcomeOf(m, at.Origin != nil)
+		outcome, value := outcomeOf(m, at.Origin != nil)
+		if outcome == scatter.Succeeded && m.Status >= http.StatusBadRequest {
+			at.FaultStatus = m.Status
+		}
+		return outcome, value
 	}
 	at.Evidence = evidenceOf(m)
 	if at.FirstPhase && m.Status == http.StatusBadRequest {
--- a/internal/opensearch/search_answer.go
+++ b/internal/opensearch/search_answer.go
@@ -63,10 +63,8 @@
 // the request, that is the answer. The answer is marked complete, by timed_out false and no failed shards, only if the
 // core says that it is.
 func searchReply(s *search, q *core.Query, a core.Answer, took time.Duration) *http1.Message {
-	for _, v := range a.Values {
-		if m := replicaFault(v); m != nil {
-			return m
-		}
+	if m := replicaFault(a); m != nil {
+		return m
 	}
 	merged := mergeHits(s, q, a)
 	return jsonReply(http.StatusOK, searchAnswer{
