core: a query submitted during the last tick is rejected, not left unanswered

Callers saw: nothing, for as long as they waited, if their query was queued after the coordinator's last tick had begun. Submit had said true.

Cause: Run ended with the phase Stopped and left the queue as it was.

Submit holds a read lock between its look at the phase and its place in the queue. Once Run has stopped it takes the lock, so each query that was accepted is in the queue, and rejects those: nothing was sent for them. The counter is queries_refused.stopped.

--- a/internal/core/coordinator.go
+++ b/internal/core/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,8 +16,9 @@
 	cfg      Config
 	settings atomic.Pointer[settingsInForce] // those in force; see inForce
 
-	queue   chan posted   // messages that wait for the next tick
-	stopped chan struct{} // closed once Run has returned
+	queue      chan posted   // messages that wait for the next tick
+	submitting sync.RWMutex  // read-held by Submit between its look at the phase and its place in the queue
+	stopped    chan struct{} // closed once Run has returned
 
 	machine *scatter.Machine
 	now     time.Duration   // instant of the present tick, or of the last one
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -19,6 +19,7 @@
 	rejectedOverload    = counters.New("queries_refused", "overload")
 	rejectedOpenLimit   = counters.New("queries_refused", "open_limit")
 	rejectedListExpired = counters.New("queries_refused", "list_expired")
+	rejectedStopped     = counters.New("queries_refused", "stopped")
 	rejectedByModule    = counters.New("queries_refused", "module")
 )
 
--- a/internal/core/phase.go
+++ b/internal/core/phase.go
@@ -71,8 +71,8 @@
 func (c *Coordinator) Drain() { c.post(drainRequest{}) }
 
 // Stop makes the phase Draining, and Stopped once no query is open; it returns when Run has. It bounds no query's time:
-// Drain has to be called before where that is wanted. All fronts have to have shut down before Stop is called. A query
-// that Submit accepts after the last tick is never answered, and Execute waits for such a one until its client leaves.
+// Drain has to be called before where that is wanted. All fronts should have shut down before Stop is called: queries
+// that still wait in the queue after the last tick are rejected.
 //
 // The order of a program's end is Drain, the fronts' shutdown, Stop. Any goroutine but the coordinator's own may call
 // it.
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -40,9 +40,10 @@
 
 // Submit hands over a query, which has to be valid and to have its Done. It does not wait, and any goroutine may call
 // it. False means that the queue is full or that the coordinator has stopped: nothing was accepted, and Done is not
-// called. True means that the query is queued. Done is then called once, unless the client leaves, or the coordinator
-// runs its last tick before the query is applied: see Stop.
+// called. True means that the query is queued. Done is then called once, unless the client leaves.
 func (c *Coordinator) Submit(q *Query) bool {
+	c.submitting.RLock()
+	defer c.submitting.RUnlock()
 	if c.Phase() == Stopped {
 		return false
 	}
@@ -70,6 +71,20 @@
 	c.accept(q, policy, key)
 }
 
+// rejectSubmitted rejects the queries that were queued after the last tick began. It is called once the phase is
+// Stopped: Submit accepts none any more.
+func (c *Coordinator) rejectSubmitted() {
+	c.submitting.Lock() // a Submit that saw an earlier phase has queued its query once the lock is had
+	n := len(c.queue)
+	c.submitting.Unlock()
+	for ; n > 0; n-- {
+		if m, ok := (<-c.queue).message.(submission); ok {
+			rejectedStopped.Inc()
+			m.query.Done(Answer{Status: Rejected, RetryAfter: c.inForce().RetryAfter})
+		}
+	}
+}
+
 // immediateAnswer returns the final answer to a query that is not to be opened at all; over is false for any other.
 // keyErr is what is wrong with its idempotency key. The first obstacle in this order decides: the client has left, the
 // list has expired, the id is taken, the open limit is reached, the key is invalid.
--- a/internal/core/submit_test.go
+++ b/internal/core/submit_test.go
@@ -106,3 +106,34 @@
 	h.runDueTimers()
 	h.want(t, "failed complete=false []")
 }
+
+// A query comes in while the coordinator's last tick applies what came before it. Submit has accepted it, so it has to be
+// answered, although no tick follows: nothing was sent for it, so it is rejected.
+func TestQuerySubmittedDuringLastTickIsAnswered(t *testing.T) {
+	h := newHarness(t, nil)
+	left := make(chan struct{})
+	close(left)
+	answered := h.query("free", 0)
+	answered.client.closed = left // its answer comes in the tick that takes it from the queue
+	late := h.query("free", 0)
+	answers, accepted := make(chan Answer, 1), false
+	late.Done = func(a Answer) { answers <- a }
+	answered.Done = func(Answer) { accepted = h.Submit(late) }
+	go h.Stop()
+	for len(h.queue) == 0 {
+		time.Sleep(ms)
+	}
+	h.Submit(answered)
+	h.Run()
+	if !accepted {
+		t.Fatal("the query was not accepted, so the test shows nothing")
+	}
+	select {
+	case a := <-answers:
+		if a.Status != Rejected || a.RetryAfter != time.Second {
+			t.Errorf("answer %+v", a)
+		}
+	default:
+		t.Error("no answer")
+	}
+}
--- a/internal/core/tick.go
+++ b/internal/core/tick.go
@@ -44,6 +44,7 @@
 			c.tick()
 		}
 	}
+	c.rejectSubmitted()
 }
 
 // tick applies what has arrived, runs the timers that are due, and lets the module decide. Messages that arrive
