core: withheld attempts end in one order in every run

Seen: where a part had two attempts out when its replica began to drain, the module heard their outcomes in an order that differed from run to run, so the same events could give other actions.

Cause: the attempts come from a map, and their sort had no last key: two of one part tied. Evidence: TestWithheldAttemptsEndInOneOrder failed on the tree as found ("outcome 2 is that of attempt 1").

The attempt's number is the last key.

--- a/internal/core/permit.go
+++ b/internal/core/permit.go
@@ -114,8 +114,6 @@
 
 // withholdUnsendable withholds the attempts that have not begun at replicas that nothing may be sent to any more. The
 // module hears that they have never run, and may send their parts elsewhere at once.
-//
-// Two attempts of a hedged part tie in the order below, so the order of their two outcomes can differ from run to run.
 func (c *Coordinator) withholdUnsendable() {
 	var list []*Attempt
 	for _, p := range c.open.parts {
@@ -126,7 +124,8 @@
 		}
 	}
 	slices.SortFunc(list, func(x, y *Attempt) int { // the order of a map is random, the module's events must not be
-		return cmp.Or(cmp.Compare(x.part.query.number, y.part.query.number), cmp.Compare(x.part.id, y.part.id))
+		return cmp.Or(cmp.Compare(x.part.query.number, y.part.query.number), cmp.Compare(x.part.id, y.part.id),
+			cmp.Compare(x.number, y.number))
 	})
 	for _, at := range list {
 		withheldUnsendable.count()
--- a/internal/core/permit_test.go
+++ b/internal/core/permit_test.go
@@ -151,3 +151,27 @@
 		t.Error("the retry is not bound to its window any more, or has lost its key")
 	}
 }
+
+// Several parts have two attempts out when their replicas drain. The module hears of the attempts in the order of their
+// queries, parts and numbers in every run: the same events have to give the same actions.
+func TestWithheldAttemptsEndInOneOrder(t *testing.T) {
+	for range 20 {
+		h := newTwoEndpointHarness(t, nil)
+		h.submit(h.query("free", 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15))
+		for _, p := range h.open.parts {
+			h.newAttempt(scatter.Send{Part: p.id, Replica: "b", Timeout: time.Second})
+		}
+		h.lease.expired = true
+		h.events = nil
+		h.withholdUnsendable()
+		for i, e := range h.events {
+			ended := e.(scatter.AttemptEnded)
+			if i%2 != ended.Attempt {
+				t.Fatalf("outcome %d is that of attempt %d of part %s", i, ended.Attempt, ended.Part)
+			}
+		}
+		if len(h.events) != 32 {
+			t.Fatalf("%d outcomes, want 32", len(h.events))
+		}
+	}
+}
