scatter, core: weights that the core takes as rounded make a complete answer

Callers saw: a query of five parts of 0.1999 was answered in part with every part in, and rejected at once by whoever wants a complete answer, each time.

Cause: two tolerances. The core took sums that miss 1 by up to 1e-3 as valid, the module corrected them up to 1e-4 only. Evidence: TestValidWeightsMakeCompleteAnswer failed on the tree as found.

There is one, scatter.WeightTolerance, of 1e-3, and the core validates by it.

--- a/internal/core/validate.go
+++ b/internal/core/validate.go
@@ -10,10 +10,7 @@
 	"harepass/internal/decide/scatter"
 )
 
-const (
-	maxIDLength     = 128  // bytes of a query's id
-	weightTolerance = 1e-3 // by how much a query's weights may miss 1 for rounding, as clients write them
-)
+const maxIDLength = 128 // bytes of a query's id
 
 // Errors of a query that cannot be served as it is. The client is told their texts; those of retry.Policy.Key and
 // InvalidPartError are further ones.
@@ -93,13 +90,13 @@
 			return &InvalidPartError{Problem: UnknownShard, Shard: p.Shard}
 		case seen[p.Shard]:
 			return &InvalidPartError{Problem: RepeatedShard, Shard: p.Shard}
-		case !(p.Weight > 0 && p.Weight <= 1+weightTolerance): // NaN is invalid too
+		case !(p.Weight > 0 && p.Weight <= 1+scatter.WeightTolerance): // NaN is invalid too
 			return &InvalidPartError{Problem: InvalidWeight, Weight: p.Weight}
 		}
 		seen[p.Shard] = true
 		sum += p.Weight
 	}
-	if !(math.Abs(sum-1) <= weightTolerance) {
+	if !(math.Abs(sum-1) <= scatter.WeightTolerance) {
 		return &InvalidPartError{Problem: InvalidWeightSum, Weight: sum}
 	}
 	return nil
--- a/internal/core/validate_test.go
+++ b/internal/core/validate_test.go
@@ -56,3 +56,29 @@
 		t.Errorf("a valid query: %v", err)
 	}
 }
+
+// A client's rounded weights miss 1 by just less than may be. The query is valid, so with all parts in its answer is
+// complete, also for a client that takes no other.
+func TestValidWeightsMakeCompleteAnswer(t *testing.T) {
+	for _, weight := range []float64{0.1999, 0.19981, 0.2001, 0.20019} {
+		for _, requireComplete := range []bool{false, true} {
+			h := newHarness(t, nil)
+			q := h.query("free", 0, 1, 2, 3, 4)
+			for i := range q.Parts {
+				q.Parts[i].Weight = weight
+			}
+			q.RequireComplete = requireComplete
+			if err := h.validate(q); err != nil {
+				t.Errorf("weight %g: %v", weight, err)
+			}
+			h.submit(q)
+			for _, call := range h.caller.calls {
+				for _, at := range call {
+					h.AttemptEnded(at, scatter.Succeeded, []byte("v"))
+				}
+			}
+			h.pass(5 * time.Second)
+			h.want(t, `served complete=true ["v" "v" "v" "v" "v"]`)
+		}
+	}
+}
--- a/internal/decide/scatter/query.go
+++ b/internal/decide/scatter/query.go
@@ -9,8 +9,9 @@
 const (
 	// weightSlack is the rounding error in sums of part weights, and the least share or rate that counts.
 	weightSlack = 1e-6
-	// maxWeightRounding is by how much the weights of all parts may miss 1 for the rounding of the wire's decimals.
-	maxWeightRounding = 1e-4
+	// WeightTolerance is by how much the weights of a query's parts may miss 1 in all for the rounding of decimals.
+	// Sums within it count as 1; a caller need not hand over queries beyond it.
+	WeightTolerance = 1e-3
 )
 
 // queryTable holds the queries and parts that are under way.
@@ -115,7 +116,7 @@
 	for _, p := range q.parts {
 		sum += p.Weight
 	}
-	if sum == 1 || math.Abs(sum-1) > maxWeightRounding {
+	if sum == 1 || math.Abs(sum-1) > WeightTolerance {
 		return
 	}
 	for _, p := range q.parts {
