platform: discovery's address changes only between two subscriptions

Seen under the race detector: a reload wrote the address while an answer was taken over. The copy for a process that takes over then had the list of one service under the address of another, and a new process could take it for that service's.

Cause: the goroutine that waits for a new address wrote it while the call to the old one went on.

The goroutine hands the address over; Run's goroutine sets it once the call has ended.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -32,7 +32,7 @@
 	// Schedule decides when discovery is polled. NewDiscovery sets that of a coordinator which is alone.
 	Schedule *backoff.Schedule
 
-	address    string    // of the service; written by Run's goroutine, and by a subscription's while that runs
+	address    string    // of the service; of Run alone
 	index      int64     // version of the list that the coordinator has, or unknownIndex; of Run alone
 	known      List      // what the coordinator was started with; empty from Run on
 	copy       *ListCopy // for a process that takes over; nil where nobody wants it
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -267,3 +268,43 @@
 		fx.close()
 	})
 }
+
+// Reloads name one service and another in turn, while answers of the service before come in. The copy for a process
+// that takes over always has the list of the service whose address it has.
+func TestCopyHasListOfItsAddressDuringReloads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newDiscoveryFixture("a", List{})
+		for _, name := range []string{"a", "b"} {
+			var index atomic.Int64
+			fx.serve(name, func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(time.Millisecond)
+				const list = `{"index":%d,"snapshot":true,"endpoints":[{"name":%q,"address":"a:1","status":"in_service"}]}`
+				fmt.Fprintf(w, list, index.Add(1), name)
+			})
+		}
+		var mixed atomic.Int32
+		var stored *ListCopy
+		stored = fx.KeepCopy(func() {
+			address, list := stored.Snapshot()
+			if len(list.Endpoints) != 1 || list.Endpoints[0].Name != address {
+				mixed.Add(1)
+			}
+		})
+		fx.start()
+		fx.Subscribe()
+		for i := range 300 {
+			fx.SetAddress([]string{"b", "a"}[i%2])
+			time.Sleep(3 * time.Millisecond) // the next one comes in the moment of an answer
+			for range i % 7 {
+				runtime.Gosched()
+			}
+		}
+		if n := mixed.Load(); n > 0 {
+			t.Errorf("%d copies with the list of another address", n)
+		}
+		fx.cancel()
+		<-fx.done
+		time.Sleep(time.Second) // for handlers that still answer
+		fx.close()
+	})
+}
--- a/internal/platform/subscription.go
+++ b/internal/platform/subscription.go
@@ -31,12 +31,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	limits := http1.Limits{Head: maxListHead, Body: maxListBody}
 	client := &http1.Client{Address: d.address, Dial: d.Dial, Limits: limits}
-	done := make(chan struct{})
-	go func() { // it alone writes the address until it has ended
-		defer close(done)
+	next := make(chan string, 1) // the new address; closed without one
+	go func() {
+		defer close(next)
 		select {
-		case d.address = <-d.newAddress:
-			moved = true
+		case address := <-d.newAddress:
+			next <- address
 			cancel()
 		case <-ctx.Done():
 		}
@@ -44,8 +44,12 @@
 	failure = d.poll(ctx, client)
 	client.Close()
 	cancel()
-	<-done
-	return moved, failure
+	// The address changes only now: what poll has taken over until here came from the old one.
+	if address, moved := <-next; moved {
+		d.address = address
+		return true, failure
+	}
+	return false, failure
 }
 
 // poll calls for the list and its changes until a call fails. What cannot be used is not taken over, and the next
