platform: a 503 of discovery no longer prolongs the list in fleets up to 60

Operators saw: rule drain broken at 40 coordinators. Requests went to data nodes long after their drain counted as notified.

Cause: a 503, or an end at once, was taken to prove that discovery cannot be reached, and renewed the list's lease. A crowded discovery rejects calls so and answers others.

Each outcome of a call has what it proves in one table; only a connection that nobody takes renews the lease. Fleets of 31 to 60 spread their calls over all of the time until lists expire, after rejections and after a reload: before, they filled discovery's queue and waited there in vain.

Two checks were wrong and are replaced by ones as strict: TestUnreachable had the wrong conclusions in its table, and TestServesWhileDiscoveryIsDown stood for an outage by what a crowd does too; its discovery is now really gone.

--- a/cmd/harepass/crowded_discovery_test.go
+++ b/cmd/harepass/crowded_discovery_test.go
@@ -72,6 +72,46 @@
 	}
 }
 
+// Replicas begin to drain while discovery answers others and rejects each poll of this coordinator with 503 at once:
+// its queue is full. A rejected poll does not show that nobody can reach discovery, so the drain counts as notified 6 s
+// later, and after the grace nothing new goes to those replicas. Once a poll is answered, the coordinator serves again.
+func TestDrainBehindRejectingDiscovery(t *testing.T) {
+	t.Parallel()
+	for _, fleet := range []int{3, 24, 40, 60} {
+		t.Run(fmt.Sprint(fleet), func(t *testing.T) {
+			t.Parallel()
+			playDrainBehindRejectingDiscovery(t, fleet)
+		})
+	}
+}
+
+// The same in fleets that discovery cannot answer before their lists expire.
+func TestDrainBehindRejectingDiscoveryInLargeFleet(t *testing.T) {
+	t.Parallel()
+	for _, fleet := range []int{100, 300} {
+		t.Run(fmt.Sprint(fleet), func(t *testing.T) {
+			t.Parallel()
+			playDrainBehindRejectingDiscovery(t, fleet)
+		})
+	}
+}
+
+func playDrainBehindRejectingDiscovery(t *testing.T, fleet int) {
+	p := newLimitedProcess(t, 256, 6)
+	d := &crowdedDiscovery{process: p}
+	var parts lateParts
+	parts.watch(p.replicas[:2])
+	startFleetMember(t, p, d, fleet)
+	time.Sleep(1500 * time.Millisecond)
+	parts.drainNow()
+	d.rejecting.Store(true)
+	statuses := p.queryFor(12 * time.Second)
+	d.rejecting.Store(false)
+	eventually(t, "it serves again", func() bool { return query(t, p.address, 0, 1, 2, 3, 4, 5) == 200 })
+	parts.check(t, p, d)
+	checkServedOrRejected(t, statuses)
+}
+
 // check fails where a part was late, or none was sent at all.
 func (l *lateParts) check(t *testing.T, p *limitedProcess, d *crowdedDiscovery) {
 	l.mu.Lock()
@@ -97,21 +137,22 @@
 	}
 }
 
-// Discovery is down for a while, with its replicas in service. It cannot have announced a change, so the list is used
-// for as long as that lasts, and no query is rejected for it.
+// Discovery is down for a while, with its replicas in service: watches are reset and connections refused, so nobody can
+// reach it. It cannot have announced a change, so the list is used for as long as that lasts, and no query is rejected
+// for it.
 func TestServesWhileDiscoveryIsDown(t *testing.T) {
 	t.Parallel()
 	p := newLimitedProcess(t, 256, 6)
 	d := &crowdedDiscovery{process: p}
-	startFleetMember(t, p, d, 35)
+	discovery := startFleetMember(t, p, d, 35)
 	time.Sleep(1500 * time.Millisecond)
-	d.down.Store(true)
+	discovery.goDown()
 	for end := time.Now().Add(2 * backoff.NotifiedAfter); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if status := query(t, p.address, 0, 1, 2, 3, 4, 5); status != 200 {
 			t.Fatalf("a query ended with %d\n%s", status, p.log)
 		}
 	}
-	if d.failedPolls.Load() == 0 {
+	if !p.logged("connection refused") {
 		t.Error("discovery was not polled while it was down")
 	}
 }
@@ -131,7 +172,7 @@
 		files := storedState(dir)
 		return len(files) == 1 && strings.Contains(files[0], `"terminating"`)
 	})
-	d.down.Store(true)
+	d.rejecting.Store(true)
 	p.Process.Kill()
 	p.Wait()
 	onlyReplica2Drains := func(replica int) string {
@@ -140,7 +181,7 @@
 		}
 		return "in_service"
 	}
-	p.writeConfig(p.listing(3, onlyReplica2Drains), discovery)
+	p.writeConfig(p.listing(3, onlyReplica2Drains), discovery.Addr().String())
 	before := len(p.replicas[2].Received())
 	p.startAgain()
 	eventually(t, "it serves again", func() bool {
--- a/cmd/harepass/discovery_server_test.go
+++ b/cmd/harepass/discovery_server_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -47,13 +48,13 @@
 	w.Write(process.listing(version, state))
 }
 
-// crowdedDiscovery answers polls until it becomes crowded or goes down.
+// crowdedDiscovery answers polls until it becomes crowded.
 type crowdedDiscovery struct {
 	process     *limitedProcess
 	crowded     atomic.Bool   // standing watches stay silent, and each poll waits before its connection is reset
-	down        atomic.Bool   // each poll is rejected at once
+	rejecting   atomic.Bool   // standing watches stay silent, and each poll is rejected at once: others have the queue
 	resetDelay  time.Duration // how long a poll waits while discovery is crowded
-	failedPolls atomic.Int32  // polls that came while discovery was crowded or down
+	failedPolls atomic.Int32  // polls that came while discovery was crowded or rejected them
 	listChanged atomic.Bool   // in the list the first two replicas drain; a failed poll sets it, and so may the test
 }
 
@@ -65,7 +66,7 @@
 
 // ServeHTTP implements http.Handler.
 func (d *crowdedDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if d.down.Load() {
+	if d.rejecting.Load() {
 		d.pollFailed()
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -86,7 +87,7 @@
 	p := parsePoll(r)
 	if p.from == version {
 		for end := time.Now().Add(p.hold); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-			if d.crowded.Load() || d.down.Load() {
+			if d.crowded.Load() || d.rejecting.Load() {
 				<-r.Context().Done()
 				return
 			}
@@ -96,8 +97,8 @@
 }
 
 // startFleetMember starts one coordinator of a fleet of some size before a discovery, waits until it serves, and
-// returns discovery's address.
-func startFleetMember(t *testing.T, p *limitedProcess, discovery http.Handler, fleet int) (address string) {
+// returns discovery's listener.
+func startFleetMember(t *testing.T, p *limitedProcess, discovery http.Handler, fleet int) *closableListener {
 	p.adaptSettings = func(settings map[string]any) {
 		settings["balancers"], settings["me"] = fleet, 7
 		settings["rules"].(map[string]any)["ask_every_us"] = (10 * time.Second).Microseconds()
@@ -105,9 +106,38 @@
 			customer.(map[string]any)["quota_per_s"] = 100000
 		}
 	}
-	l := listen(t)
+	l := &closableListener{Listener: listen(t)}
 	go http.Serve(l, discovery)
 	p.start(p.listing(1, inService), l.Addr().String())
 	p.waitServing(0)
-	return l.Addr().String()
+	return l
+}
+
+// closableListener keeps what it has accepted, so that a service can go down as its process does when it dies.
+type closableListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *closableListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.conns = append(l.conns, c)
+	}
+	return c, err
+}
+
+// goDown refuses connections from now on and resets those that are open.
+func (l *closableListener) goDown() {
+	l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
 }
--- a/cmd/harepass/limited_process_test.go
+++ b/cmd/harepass/limited_process_test.go
@@ -119,9 +119,26 @@
 // waitServing waits until a query for shards is served.
 func (p *limitedProcess) waitServing(shards ...int) {
 	p.t.Helper()
-	eventually(p.t, "it serves", func() bool {
-		return p.logged(logmsg.ListenerOpened) && query(p.t, p.address, shards...) == http.StatusOK
+	statuses := map[int]int{}
+	err := faultinjection.WaitFor("it serves", func() bool {
+		if !p.logged(logmsg.ListenerOpened) {
+			return false
+		}
+		status := query(p.t, p.address, shards...)
+		statuses[status]++
+		return status == http.StatusOK
 	})
+	if err != nil {
+		p.t.Fatalf("%v; answers by status %v; the replicas got %d parts; log:\n%s", err, statuses, p.partsReceived(), p.log)
+	}
+}
+
+// partsReceived is how many parts all replicas have been sent.
+func (p *limitedProcess) partsReceived() (n int) {
+	for _, r := range p.replicas {
+		n += len(r.Received())
+	}
+	return n
 }
 
 // load sends queries for all shards for a while, one after the other, and checks that each is served.
--- a/internal/decide/backoff/notification.go
+++ b/internal/decide/backoff/notification.go
@@ -71,7 +71,7 @@
 	switch {
 	case s.UsesAgent:
 		return agentCallTimeout
-	case s.awaitingNewService:
+	case s.awaitingNewService && !s.needsWholeLease(): // there is no time for a second call
 		return reloadCallTimeout
 	}
 	return CallTimeout
--- a/internal/decide/backoff/schedule.go
+++ b/internal/decide/backoff/schedule.go
@@ -43,6 +43,16 @@
 	return s.draw(s.bound(interval, NotifiedAfter-CallTimeout, scale(s.ListMaxAge, firstCallShare)))
 }
 
+// FirstDelayAtNewService returns how long to wait before the first call to a service that a reload has named, where the
+// endpoint list expires after expiresIn. A reload comes to the whole fleet at one instant. A fleet that needs all of the
+// time until lists expire spreads its calls over it; any other calls at once.
+func (s *Schedule) FirstDelayAtNewService(expiresIn time.Duration) time.Duration {
+	if s.UsesAgent || !s.needsWholeLease() {
+		return 0
+	}
+	return s.draw(min(s.spreadingInterval(1)-s.queueTime(), expiresIn-CallTimeout))
+}
+
 // WatchLostDelay returns how long to wait before a call that follows a lost watch. Unlike Failed it records nothing: a
 // lost watch says nothing of discovery's load, so it counts neither as a failure nor as a success.
 func (s *Schedule) WatchLostDelay() time.Duration {
@@ -79,14 +89,19 @@
 }
 
 // failureInterval is the interval, after minFailureDelay, from which the next call is drawn. Each further failure may
-// spread a large fleet over another MaxSpread, so that discovery can work off the calls that it has failed.
+// spread a large fleet over another MaxSpread, so that discovery can work off the calls that it has failed. A fleet that
+// needs all of the time until lists expire is spread over its whole interval from the first failure on: calls that come
+// sooner wait in discovery's queue until they fail, and nobody is answered.
 func (s *Schedule) failureInterval(expiresIn time.Duration) time.Duration {
 	slots := s.load.slots
 	longest := min(s.ListMaxAge, time.Duration(slots)*MaxSpread)
+	if s.needsWholeLease() {
+		longest = s.ListMaxAge
+	}
 	interval := s.spreadingInterval(slots) - s.queueTime()
 	interval = s.bound(interval, s.maxSpread()-minFailureDelay, longest-minFailureDelay)
 	beforeExpiry := expiresIn - minFailureDelay - s.load.serviceTimeout()
-	if beforeExpiry > 0 && s.spreadingInterval(1) <= maxIntervalToHurry {
+	if beforeExpiry > 0 && s.AnsweredBeforeExpiry() {
 		interval = min(interval, beforeExpiry)
 	}
 	return interval
--- a/internal/decide/backoff/spreading.go
+++ b/internal/decide/backoff/spreading.go
@@ -66,6 +66,15 @@
 	return time.Duration(slots*s.FleetSize) * callSlot
 }
 
+// AnsweredBeforeExpiry reports whether discovery can answer one call of each coordinator of the fleet before an endpoint
+// list expires that was confirmed last when discovery was lost.
+func (s *Schedule) AnsweredBeforeExpiry() bool { return s.spreadingInterval(1) <= maxIntervalToHurry }
+
+// needsWholeLease reports whether discovery can answer the fleet before its lists expire, but not in time.
+func (s *Schedule) needsWholeLease() bool {
+	return s.AnsweredBeforeExpiry() && s.spreadingInterval(1) > maxIntervalInTime
+}
+
 // queueTime is the part of a spreading interval that may wait in discovery's queue instead, without any call failing.
 func (s *Schedule) queueTime() time.Duration {
 	return scale(s.load.serviceTimeout(), queueShare)
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -7,7 +7,7 @@
 // which it is known to have lacked nothing. There are two kinds of such an instant: discovery confirmed the list, or a
 // call found discovery unreachable, since no change counts as notified while discovery cannot be reached. A call that
 // discovery accepted and left unanswered proves neither. Which failure of a call shows what is the caller's to tell:
-// package platform does so in pollFailure.unreachable.
+// package platform does so in pollFailure.evidence.
 //
 // # Contract
 //
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -116,8 +116,8 @@
 // gives. A watch that was lost is opened anew without telling the coordinator: what it missed is about to count as
 // notified.
 //
-// A new address ends the subscription too, and the next one begins at once with the complete list, for the new service
-// counts versions by an index of its own.
+// A new address ends the subscription too, and the next one begins with the complete list, for the new service counts
+// versions by an index of its own.
 func (d *Discovery) Run(ctx context.Context) {
 	d.known, d.outage.answered = List{}, time.Now()
 	d.lease = lease.New(d.Clock(), d.Schedule.ListMaxAge, d.Grace)
@@ -131,8 +131,8 @@
 		case ctx.Err() != nil:
 			return
 		case moved:
-			delay = 0
 			d.serviceChanged()
+			delay = d.Schedule.FirstDelayAtNewService(d.lease.Expires() - d.Clock())
 		default:
 			delay = d.recordFailure(failure)
 			d.outage.failed(failure, d.index, delay, d.lease.Expires()-d.Clock())
@@ -170,8 +170,8 @@
 
 // recordFailure takes the end of a subscription in and returns the delay before the next one.
 func (d *Discovery) recordFailure(f *pollFailure) (delay time.Duration) {
-	switch {
-	case f.unreachable():
+	switch e := f.evidence(); {
+	case e == provesUnreachable, e == mayBeCrowded && !d.Schedule.AnsweredBeforeExpiry():
 		d.lease.Unreachable(f.began)
 	case !f.watch:
 		d.lease.Unanswered()
--- a/internal/platform/discovery_log.go
+++ b/internal/platform/discovery_log.go
@@ -13,6 +13,7 @@
 	pollsAnswered    = counters.New("list_calls", "served")
 	watchesLost      = counters.New("list_calls", "watch_lost")
 	pollsUnreachable = counters.New("list_calls", "unreachable")
+	pollsRejected    = counters.New("list_calls", "rejected")
 	pollsUnanswered  = counters.New("list_calls", "unanswered")
 )
 
@@ -25,11 +26,13 @@
 // failed logs the end of a subscription, when the next one begins, and how long the list may be used still.
 func (o *outage) failed(f *pollFailure, version int64, nextPoll, expires time.Duration) {
 	o.failures++
-	switch {
+	switch e := f.evidence(); {
 	case f.watch:
 		watchesLost.Inc()
-	case f.unreachable():
+	case e == provesUnreachable:
 		pollsUnreachable.Inc()
+	case e == mayBeCrowded:
+		pollsRejected.Inc()
 	default:
 		pollsUnanswered.Inc()
 	}
--- a/internal/platform/poll_failure.go
+++ b/internal/platform/poll_failure.go
@@ -42,18 +42,42 @@
 
 func (f *pollFailure) Unwrap() error { return f.err }
 
-// unreachable reports whether the call has shown that discovery cannot be reached: nobody accepted the connection,
-// discovery itself said that it is unavailable, or the call was ended at once. One that was accepted, waited, and
-// then broke or brought nothing shows no such thing, and a watch that ends says nothing of other calls.
-func (f *pollFailure) unreachable() bool {
+// evidence is what a failed call shows of discovery. Changes of the list count as notified some time after discovery
+// had them and could be reached, so only a call that shows that it could not be reached lets the list hold longer.
+//
+//	how the call ended                          what it can mean                       evidence
+//	connection refused, no route, not taken     nobody is there                        provesUnreachable
+//	no socket or port of our own to be had      a fault of this machine                provesNothing
+//	503, at once or late                        down; or a full queue; or a long wait  mayBeCrowded
+//	ended without an answer at once             down; or a full queue                  mayBeCrowded
+//	ended without an answer after a wait        it was accepted, and waited            provesNothing
+//	no answer, a broken or unreadable one       it was accepted                        provesNothing
+//	a watch that ended or stayed silent         says nothing of other calls            provesNothing
+//
+// What would tell a crowded discovery from one that is down is not to be had here: watches end when it goes down, but
+// also by themselves, and nothing tells one coordinator that others are answered.
+type evidence int
+
+const (
+	provesNothing     evidence = iota // discovery may have been reached
+	mayBeCrowded                      // discovery is down, or it rejects some calls and answers others
+	provesUnreachable                 // nobody could have reached discovery
+)
+
+// evidence returns what the call shows.
+func (f *pollFailure) evidence() evidence {
 	var op *net.OpError
-	if errors.As(f.err, &op) && op.Op == "dial" {
-		return !isLocalFault(f.err)
-	}
-	if f.watch {
-		return false
+	switch {
+	case errors.As(f.err, &op) && op.Op == "dial" && isLocalFault(f.err):
+		return provesNothing
+	case errors.As(f.err, &op) && op.Op == "dial":
+		return provesUnreachable
+	case f.watch:
+		return provesNothing
+	case errors.Is(f.err, errUnavailable), f.took < backoff.ImmediateFailure && endedWithoutAnswer(f.err):
+		return mayBeCrowded
 	}
-	return errors.Is(f.err, errUnavailable) || f.took < backoff.ImmediateFailure && endedWithoutAnswer(f.err)
+	return provesNothing
 }
 
 // endedWithoutAnswer reports whether a call ended without any byte of an answer.
--- a/internal/platform/poll_failure_test.go
+++ b/internal/platform/poll_failure_test.go
@@ -11,8 +11,9 @@
 	"time"
 )
 
-// What a failed call says of discovery: only where it cannot be had does the list go on holding.
-func TestUnreachable(t *testing.T) {
+// What a failed call shows of discovery. Only a connection that nobody took proves that discovery cannot be reached: a
+// crowded one, which answers others, rejects calls as one that is down does, at once and late.
+func TestEvidenceOfFailedCall(t *testing.T) {
 	const soon, late = 10 * time.Millisecond, 930 * time.Millisecond
 	broken := &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
 	unconnected := &net.OpError{Op: "dial", Err: context.DeadlineExceeded}
@@ -22,28 +23,28 @@
 	}
 	for name, c := range map[string]struct {
 		failure pollFailure
-		want    bool
+		want    evidence
 	}{
-		"nobody listens":                       {pollFailure{took: soon, err: dial(syscall.ECONNREFUSED)}, true},
-		"the connection never came up":         {pollFailure{took: late, err: unconnected}, true},
-		"the network is away":                  {pollFailure{took: soon, err: dial(syscall.ENETUNREACH)}, true},
-		"no descriptor of our own is left":     {pollFailure{took: soon, err: dial(syscall.EMFILE)}, false},
-		"no port of our own is left":           {pollFailure{took: soon, err: dial(syscall.EADDRNOTAVAIL)}, false},
-		"unavailable at once":                  {pollFailure{took: soon, err: errUnavailable}, true},
-		"unavailable after a wait":             {pollFailure{took: late, err: errUnavailable}, true},
-		"reset at once":                        {pollFailure{took: soon, err: broken}, true},
-		"ended at once":                        {pollFailure{took: soon, err: io.EOF}, true},
-		"reset after a wait (2026-12-02)":      {pollFailure{took: late, err: broken}, false},
-		"ended after a wait":                   {pollFailure{took: late, err: io.EOF}, false},
-		"cut off in the middle of an answer":   {pollFailure{took: soon, err: io.ErrUnexpectedEOF}, false},
-		"no answer":                            {pollFailure{took: late, err: os.ErrDeadlineExceeded}, false},
-		"an unreadable list":                   {pollFailure{took: soon, err: unreadable}, false},
-		"a watch that was reset":               {pollFailure{watch: true, took: soon, err: broken}, false},
-		"a watch that ended as unavailable":    {pollFailure{watch: true, took: late, err: errUnavailable}, false},
-		"a watch whose connection was refused": {pollFailure{watch: true, took: soon, err: dial(syscall.ECONNREFUSED)}, true},
+		"nobody listens":                       {pollFailure{took: soon, err: dial(syscall.ECONNREFUSED)}, provesUnreachable},
+		"the connection never came up":         {pollFailure{took: late, err: unconnected}, provesUnreachable},
+		"the network is away":                  {pollFailure{took: soon, err: dial(syscall.ENETUNREACH)}, provesUnreachable},
+		"no descriptor of our own is left":     {pollFailure{took: soon, err: dial(syscall.EMFILE)}, provesNothing},
+		"no port of our own is left":           {pollFailure{took: soon, err: dial(syscall.EADDRNOTAVAIL)}, provesNothing},
+		"unavailable at once":                  {pollFailure{took: soon, err: errUnavailable}, mayBeCrowded},
+		"unavailable after a wait":             {pollFailure{took: late, err: errUnavailable}, mayBeCrowded},
+		"reset at once":                        {pollFailure{took: soon, err: broken}, mayBeCrowded},
+		"ended at once":                        {pollFailure{took: soon, err: io.EOF}, mayBeCrowded},
+		"reset after a wait (2026-12-02)":      {pollFailure{took: late, err: broken}, provesNothing},
+		"ended after a wait":                   {pollFailure{took: late, err: io.EOF}, provesNothing},
+		"cut off in the middle of an answer":   {pollFailure{took: soon, err: io.ErrUnexpectedEOF}, provesNothing},
+		"no answer":                            {pollFailure{took: late, err: os.ErrDeadlineExceeded}, provesNothing},
+		"an unreadable list":                   {pollFailure{took: soon, err: unreadable}, provesNothing},
+		"a watch that was reset":               {pollFailure{watch: true, took: soon, err: broken}, provesNothing},
+		"a watch that ended as unavailable":    {pollFailure{watch: true, took: late, err: errUnavailable}, provesNothing},
+		"a watch whose connection was refused": {pollFailure{watch: true, err: dial(syscall.ECONNREFUSED)}, provesUnreachable},
 	} {
-		if got := c.failure.unreachable(); got != c.want {
-			t.Errorf("%s: unreachable %t, want %t", name, got, c.want)
+		if got := c.failure.evidence(); got != c.want {
+			t.Errorf("%s: evidence %d, want %d", name, got, c.want)
 		}
 	}
 }
