opensearch: a rejected search is no longer told that it was not run

Callers saw: 429 with "not run, try again later" for searches of which some attempts had run, when too few shards answered in time.

Cause: one text for rejections before and after the first attempt. The promise of a rejection is that a retry is harmless, which holds for both; the text now says that. Seen by reading (giveUp rejects where nothing can have had an effect, whatever has run) and in TestMinimumFractionGoesByShardWeights, which gets such a 429 after failed attempts. No test asserts the text.

--- a/internal/opensearch/errors.go
+++ b/internal/opensearch/errors.go
@@ -87,7 +87,7 @@
 	retryAfter time.Duration
 }
 
-const rejectedReason = "rejected by the coordinator: not run, try again later"
+const rejectedReason = "rejected by the coordinator: a retry is harmless, try again later"
 
 // Error says when to retry.
 func (e *rejectedError) Error() string { return fmt.Sprintf("rejected, retry after %v", e.retryAfter) }
