opensearch: a client's bad search on a versioned shard gets the replica's 400

Callers saw: a search that a replica cannot read ended as a missing shard or with 500, where the index has two phases and the shard's version was known.

Cause: such a search carries an aggregation of the coordinator's, so a 400 may be for that; it counted as an error of the replica. Evidence: TestBadSearchOfVersionedShardReachesClient failed on the tree as found.

After a 400 the Caller sends the search once more in the same attempt, as the client has worded it, and a 400 to that is the client's answer. The class of such an index is idempotent, and the replica no longer counts as failing for its clients' faults.

--- a/internal/opensearch/caller.go
+++ b/internal/opensearch/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -125,10 +126,33 @@
 	if err != nil {
 		return requestOutcome(ctx, written, err), nil
 	}
+	if at.WithVersion && m.Status == http.StatusBadRequest {
+		return caller.sendWithoutVersion(ctx, conns, c, to, at)
+	}
 	caller.keepIdle(conns, to.ID, c)
 	return recordAnswer(at, m)
 }
 
+// sendWithoutVersion sends a search again as its client has worded it, after the replica has found a fault in the one
+// that asks for the shard's version too. A 400 is the client's answer then. A search that was refused so has not run,
+// and its class may run twice in any case.
+func (caller *Caller) sendWithoutVersion(ctx context.Context, conns *replicaConns, c *http1.Client, to core.Endpoint,
+	at *core.Attempt) (scatter.Outcome, []byte) {
+	s, ok := at.Origin.(*search)
+	if !ok || at.Remaining() <= 0 {
+		caller.keepIdle(conns, to.ID, c)
+		return scatter.Errored, nil
+	}
+	req := searchRequest(s.index, at, s.body)
+	req.Header.Set("Host", to.Address)
+	m, written, err := c.Do(ctx, req)
+	if err != nil {
+		return requestOutcome(ctx, written, err), nil
+	}
+	caller.keepIdle(conns, to.ID, c)
+	return recordPlainAnswer(at, m)
+}
+
 // connectOutcome returns the outcome of an attempt without a connection. A cancelled attempt, or a process without free
 // descriptors (EMFILE), says nothing of the replica.
 func connectOutcome(ctx context.Context, err error) scatter.Outcome {
--- a/internal/opensearch/replica_answer.go
+++ b/internal/opensearch/replica_answer.go
@@ -33,16 +33,11 @@
 //
 // A search that asks for evidence has an aggregation of the coordinator's own beside the client's query, so a 400 may
 // be the fault of either, and must not reach the client as if the client had worded all of it. In a first phase it
-// proves nothing: the part is sent in full next. In a full search WithVersion it is an error of the attempt, which the
-// decisions may retry; the client then sees the shard among the failures, or 500 where too few shards answer, and never
-// the replica's 400.
+// proves nothing: the part is sent in full next. In a full search WithVersion it is an error of the attempt; the Caller
+// sends that search once more as the client has worded it, before it comes to that.
 func recordAnswer(at *core.Attempt, m *http1.Message) (scatter.Outcome, []byte) {
 	if !at.FirstPhase && !at.WithVersion {
-		outcome, value := outcomeOf(m, at.Origin != nil)
-		if outcome == scatter.Succeeded && m.Status >= http.StatusBadRequest {
-			at.FaultStatus = m.Status
-		}
-		return outcome, value
+		return recordPlainAnswer(at, m)
 	}
 	at.Evidence = evidenceOf(m)
 	if at.FirstPhase && m.Status == http.StatusBadRequest {
@@ -51,6 +46,15 @@
 	return outcomeOf(m, false)
 }
 
+// recordPlainAnswer does what recordAnswer does, for the answer to a request without anything of the coordinator's own.
+func recordPlainAnswer(at *core.Attempt, m *http1.Message) (scatter.Outcome, []byte) {
+	outcome, value := outcomeOf(m, at.Origin != nil)
+	if outcome == scatter.Succeeded && m.Status >= http.StatusBadRequest {
+		at.FaultStatus = m.Status
+	}
+	return outcome, value
+}
+
 // outcomeOf returns what a replica's answer makes of an attempt, and its value. A search answer that the replica
 // itself does not call complete is an error. clientWorded says that the request is the client's own: what a replica
 // finds wrong with it is its final answer, since other replicas would find the same.
--- a/internal/opensearch/replica_answer_test.go
+++ b/internal/opensearch/replica_answer_test.go
@@ -166,3 +166,60 @@
 		}
 	}
 }
+
+// httpAnswer is an answer of a replica, as bytes.
+func httpAnswer(status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+// dialRefusingVersions returns a dialer to a replica that answers 400 to a search that asks for the shard's version, and
+// with a given answer to the search behind it on the same connection. bodies takes what it was sent.
+func dialRefusingVersions(next string, bodies chan<- string) http1.Dialer {
+	return func(context.Context, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() {
+			defer server.Close()
+			for _, answer := range []string{httpAnswer(400, `{"error":{"type":"x"},"status":400}`), next} {
+				request := make([]byte, 4<<10)
+				n, _ := server.Read(request)
+				_, body, _ := strings.Cut(string(request[:n]), "\r\n\r\n")
+				bodies <- body
+				server.Write([]byte(answer))
+			}
+		}()
+		return client, nil
+	}
+}
+
+// A client's own bad search goes to a shard whose version is known, so the coordinator asks for the version beside it.
+// The replica's 400 may be for either. The search is sent once more as the client has worded it, and a 400 to that
+// reaches the client; it did not, and the client was told of a missing shard or of a failure.
+func TestBadSearchOfVersionedShardReachesClient(t *testing.T) {
+	const fault = `{"error":{"type":"query_shard_exception"},"status":400}`
+	const found = `{"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"n":1}}`
+	for _, tc := range []struct {
+		next        string
+		want        endedAttempt
+		faultStatus int
+	}{
+		{httpAnswer(400, fault), endedAttempt{scatter.Succeeded, fault}, 400},
+		{httpAnswer(200, found), endedAttempt{scatter.Succeeded, `{"n":1}`}, 0},
+		{httpAnswer(500, fault), endedAttempt{outcome: scatter.Errored}, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ended, bodies := make(endedAttempts, 1), make(chan string, 2)
+			caller := &Caller{Reporter: ended, Config: &Config{SectionField: "section"}, ConnectTimeout: time.Second,
+				KeepAlive: time.Minute, Dial: dialRefusingVersions(tc.next, bodies)}
+			at := &core.Attempt{ReplicaID: "n", Timeout: time.Second, WithVersion: true, Origin: &search{
+				index: &Index{name: "i"}, body: []byte(`{"own":1}`), versionedBody: []byte(`{"own":1,"aggs":{}}`)}}
+			caller.Call(core.Endpoint{Replica: scatter.Replica{ID: "n"}, Address: "n"}, []*core.Attempt{at})
+			if got := <-ended; got != tc.want || at.FaultStatus != tc.faultStatus || at.Evidence.Readable {
+				t.Errorf("%v with fault %d, want %v", got, at.FaultStatus, tc.want)
+			}
+			if first, second := <-bodies, <-bodies; first != `{"own":1,"aggs":{}}` || second != `{"own":1}` {
+				t.Errorf("the replica was sent %s and %s", first, second)
+			}
+			caller.CloseIdleConnections("n")
+		})
+	}
+}
