opensearch, config: a reload makes a new configuration, a refused one none

Callers saw: after a reload that was refused, searches ended by the deadlines of the refused settings; an index without a range of shards did not get the shards that a reload added. Under the race detector a reload wrote into the configuration that requests were read by.

Cause: Check wrote names, deadlines and ranges into the configuration in force, index by index, before it knew that all fit.

A reload checks a copy, and the front takes it over as one pointer once the coordinator has taken the settings.

--- a/internal/config/changes.go
+++ b/internal/config/changes.go
@@ -8,6 +8,7 @@
 
 	"harepass/internal/core"
 	"harepass/internal/decide/settingsdiff"
+	"harepass/internal/opensearch"
 	"harepass/internal/wire"
 )
 
@@ -16,8 +17,8 @@
 // lifecycle's reload.go names. The error says why next cannot take the place of c: it lacks something that c has, its
 // settings cannot be served, or the OpenSearch front does not fit them.
 //
-// The front's file is not read again. What c has of it is checked against the classes, tenants and shards of next, and
-// that check writes each index's deadline, from its class, into the configuration that c's front serves by.
+// The front's file is not read again. What c has of it is checked against the classes, tenants and shards of next; c
+// stays as it is.
 func (c *Config) Changes(next *Config) ([]string, error) {
 	changes, err := c.Platform.settingsChanges(next.Platform)
 	if err != nil {
@@ -26,14 +27,25 @@
 	if _, err = core.New(core.Config{Settings: next.Settings}); err != nil {
 		return nil, err
 	}
-	if c.OpenSearch != nil {
-		if err := c.OpenSearch.Check(next.Settings, next.ProtocolLimits.Shards); err != nil {
-			return nil, &FileError{c.OpenSearchPath, err}
-		}
+	if _, err := c.OpenSearchUnder(next); err != nil {
+		return nil, err
 	}
 	return changes, nil
 }
 
+// OpenSearchUnder returns the configuration of c's OpenSearch front as it is under the settings of next, and nil where c
+// has no such front. The error is a *FileError where the front does not fit them.
+func (c *Config) OpenSearchUnder(next *Config) (*opensearch.Config, error) {
+	if c.OpenSearch == nil {
+		return nil, nil
+	}
+	front, err := c.OpenSearch.CheckedCopy(next.Settings, next.ProtocolLimits.Shards)
+	if err != nil {
+		return nil, &FileError{c.OpenSearchPath, err}
+	}
+	return front, nil
+}
+
 // ChangesFrom lists what c changes in the configuration in force, which is the platform's file at path. The variables
 // override that file too. The error is ErrNoPlatform where c has no platform, a *FileError or the system's where the
 // file cannot be read, and one of Changes otherwise.
--- a/internal/lifecycle/listeners.go
+++ b/internal/lifecycle/listeners.go
@@ -25,9 +25,9 @@
 // openFronts opens the listeners for clients: the OpenSearch front's first, where both are on.
 func (p *process) openFronts() error {
 	if p.OpenSearch != nil {
-		handler := &opensearch.Front{Config: p.OpenSearch, Coordinator: p.coordinator, Clock: p.clock,
+		p.apiFront = &opensearch.Front{Config: p.OpenSearch, Coordinator: p.coordinator, Clock: p.clock,
 			Version: p.version}
-		server := &http1.Server{Handler: handler.Handle, ErrorAnswer: opensearch.ErrorResponse,
+		server := &http1.Server{Handler: p.apiFront.Handle, ErrorAnswer: opensearch.ErrorResponse,
 			Limits: http1.Limits{Head: http1.DefaultLimits.Head, Body: maxAPIBody}}
 		if err := p.openFront(p.OpenSearch.Listen, server); err != nil {
 			return err
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -11,6 +11,7 @@
 	"harepass/internal/core"
 	"harepass/internal/loadshed"
 	"harepass/internal/logmsg"
+	"harepass/internal/opensearch"
 	"harepass/internal/operator"
 	"harepass/internal/platform"
 )
@@ -26,6 +27,7 @@
 	frameCaller *platform.Caller  // the connections to replicas that speak frames
 	shedder     *loadshed.Shedder // overload control; nil where it is off
 	fronts      []front           // the listeners for clients, in the order in which they were opened
+	apiFront    *opensearch.Front // nil where there is no OpenSearch front
 	onStop      []func()          // what closes once the coordinator has stopped, in this order
 
 	discovery       *platform.Discovery   // nil without the platform, and where relays give out the endpoint list
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -77,19 +77,26 @@
 	return p.replaceConfig(next)
 }
 
-// replaceConfig puts the settings and discovery's address of next in force. With an error none of it is, but for the
-// deadlines of the OpenSearch front's indices, which Changes may have written.
+// replaceConfig puts the settings and discovery's address of next in force. With an error none of it is.
 func (p *process) replaceConfig(next *config.Config) error {
 	changes, err := p.Changes(next)
 	if err != nil {
 		return err
 	}
+	openSearch, err := p.OpenSearchUnder(next)
+	if err != nil {
+		return err
+	}
 	oldSettings, oldLimits := p.Settings, p.ProtocolLimits
 	p.Settings, p.ProtocolLimits = next.Settings, next.ProtocolLimits
 	if err := p.coordinator.Configure(p.Settings, p.coreLimits()); err != nil {
 		p.Settings, p.ProtocolLimits = oldSettings, oldLimits
 		return err
 	}
+	if p.apiFront != nil {
+		p.OpenSearch = openSearch
+		p.apiFront.Reconfigure(openSearch)
+	}
 	p.frameCaller.Configure(p.ProtocolLimits.CallsPerConn, p.ProtocolLimits.ConnectTimeout,
 		responseTimeout(p.Settings.Classes), p.ProtocolLimits.KeepAlive)
 	if p.shedder != nil {
--- a/internal/opensearch/config.go
+++ b/internal/opensearch/config.go
@@ -42,8 +42,8 @@
 	Class string `yaml:"class"`
 	// TakesDocuments has the index take documents and no searches.
 	TakesDocuments bool `yaml:"reports"`
-	// ShardRange has two entries: the first and the last shard of the index. The first Check fills in all shards where
-	// the file gives none.
+	// ShardRange has two entries: the first and the last shard of the index. Check fills in all shards where the file
+	// gives none.
 	ShardRange []int `yaml:"sections"`
 	// Weights are the weights of shards in an answer, relative to each other; a shard without an entry weighs 1.
 	Weights map[int]float64 `yaml:"weights"`
@@ -51,7 +51,8 @@
 	TwoPhase *TwoPhase `yaml:"two_phase"`
 
 	name     string        // the key in Config.Indices; set by Check
-	deadline time.Duration // the class's deadline; set by Check, again at each change of the settings
+	deadline time.Duration // the class's deadline; set by Check
+	holdsAll bool          // the file gives no range of shards; set by Check
 }
 
 // TwoPhase has the searches of an index begin with a cheap first phase that finds which shards matter.
--- a/internal/opensearch/config_check.go
+++ b/internal/opensearch/config_check.go
@@ -29,13 +29,24 @@
 	return &EntryError{Entry: entry, Reason: fmt.Sprintf(format, args...)}
 }
 
+// CheckedCopy returns a copy of c that is checked against other settings. c stays as it is, since requests may be served
+// by it. The errors are those of Check.
+func (c *Config) CheckedCopy(s scatter.Settings, shards int) (*Config, error) {
+	next := *c
+	next.Indices = map[string]*Index{}
+	for name, ix := range c.Indices {
+		indexCopy := *ix
+		next.Indices[name] = &indexCopy
+	}
+	if err := next.Check(s, shards); err != nil {
+		return nil, err
+	}
+	return &next, nil
+}
+
 // Check checks the file against the settings; shards is the number of shards. It fills in what the file leaves to the
-// settings, and has to be called before the first request. Its error is ErrNoListenAddress, ErrNoIndices or an
-// EntryError; after an error some indices may have the new settings' deadlines, others the old ones.
-//
-// Check is called again for each change of the settings, on the Config that the front's requests read meanwhile, and
-// writes each index's name and deadline without a lock. A request may then get the deadline from before the change or
-// from after it.
+// settings, and has to be called before the first request, and not after it: CheckedCopy is for other settings. Its
+// error is ErrNoListenAddress, ErrNoIndices or an EntryError.
 func (c *Config) Check(s scatter.Settings, shards int) error {
 	if c.Listen == "" {
 		return ErrNoListenAddress
@@ -104,10 +115,11 @@
 	return nil
 }
 
-// checkShards checks the range of shards and their weights. An index without a range gets all shards, once: a later
-// Check takes that range for the file's own, and does not widen it to a larger number of shards.
+// checkShards checks the range of shards and their weights. An index for which the file gives no range has all shards
+// that there are by the settings in force.
 func (ix *Index) checkShards(entry string, shards int) error {
-	if len(ix.ShardRange) == 0 {
+	ix.holdsAll = ix.holdsAll || len(ix.ShardRange) == 0
+	if ix.holdsAll {
 		ix.ShardRange = []int{0, shards - 1}
 	}
 	if r := ix.ShardRange; len(r) != 2 || r[0] < 0 || r[1] < r[0] || r[1] >= shards {
--- a/internal/opensearch/front.go
+++ b/internal/opensearch/front.go
@@ -7,14 +7,15 @@
 	"net/url"
 	"slices"
 	"strings"
+	"sync/atomic"
 
 	"harepass/internal/core"
 	"harepass/internal/http1"
 )
 
-// Front takes the API's requests from clients. Its fields are to be set before the first request.
+// Front takes the API's requests from clients. Its exported fields are to be set before the first request.
 type Front struct {
-	// Config is the configuration file, checked.
+	// Config is the configuration file, checked. Reconfigure replaces it.
 	Config *Config
 	// Coordinator admits and executes the queries.
 	Coordinator *core.Coordinator
@@ -22,6 +23,20 @@
 	Clock core.Clock
 	// Version is the build of this program, for clients that ask what they speak to.
 	Version string
+
+	replacement atomic.Pointer[Config] // what Reconfigure was given last; nil before
+}
+
+// Reconfigure has requests that come from now on served by another checked configuration, which must not be changed any
+// more. It is for any goroutine.
+func (f *Front) Reconfigure(c *Config) { f.replacement.Store(c) }
+
+// config returns the configuration in force.
+func (f *Front) config() *Config {
+	if c := f.replacement.Load(); c != nil {
+		return c
+	}
+	return f.Config
 }
 
 // apiRequest is a client's request, with its target taken apart.
@@ -81,7 +96,7 @@
 	case segments == 2 && r.path[0] == "_cluster" && r.path[1] == "health":
 		return f.health(r)
 	case segments == 1 && r.path[0] == "_search":
-		return f.search(r, f.Config.DefaultIndex)
+		return f.search(r, f.config().DefaultIndex)
 	case segments == 2 && r.path[last] == "_search":
 		return f.search(r, r.path[0])
 	case (segments == 2 || segments == 3) && r.path[1] == "_doc", segments == 3 && r.path[1] == "_create":
--- a/internal/opensearch/front_query.go
+++ b/internal/opensearch/front_query.go
@@ -42,7 +42,7 @@
 	if err := f.admit(overload.Arrival{Class: ix.Class, Tenant: tenant}); err != nil {
 		return nil, err
 	}
-	s, err := f.Config.parseSearch(ix, r.params, r.Body)
+	s, err := f.config().parseSearch(ix, r.params, r.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +87,7 @@
 	if err := f.admit(overload.Arrival{Class: ix.Class, Tenant: tenant, Parts: 1}); err != nil {
 		return nil, err
 	}
-	doc, err := f.Config.parseDocument(ix, r.path, r.params, r.Body)
+	doc, err := f.config().parseDocument(ix, r.path, r.params, r.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -108,7 +108,7 @@
 	if tenant, err = f.tenant(r.Header); err != nil {
 		return nil, "", err
 	}
-	if ix = f.Config.Indices[index]; ix == nil {
+	if ix = f.config().Indices[index]; ix == nil {
 		reason := fmt.Sprintf("no such index [%s]", index)
 		return nil, "", &apiError{http.StatusNotFound, typeIndexNotFound, reason}
 	}
@@ -118,7 +118,7 @@
 // tenant returns the tenant of the client, which Config.ClientTenants has under the user of basic authentication, else
 // under the X-Opaque-Id. This tells clients apart; it does not prove who they are.
 func (f *Front) tenant(h textproto.MIMEHeader) (string, error) {
-	if len(f.Config.ClientTenants) == 0 {
+	if len(f.config().ClientTenants) == 0 {
 		return "", nil
 	}
 	client := h.Get("X-Opaque-Id")
@@ -127,7 +127,7 @@
 			client, _, _ = strings.Cut(string(credentials), ":")
 		}
 	}
-	tenant, known := f.Config.ClientTenants[client]
+	tenant, known := f.config().ClientTenants[client]
 	if !known {
 		return "", &apiError{http.StatusForbidden, typeSecurity, fmt.Sprintf("no tenant for caller [%s]", client)}
 	}
