http1, loadshed: a panic of one request ends that request, not the process

Callers saw: one search whose handling panicked ended the process, and with it every other request (the result window was such a one).

Decided: a handler runs in a goroutine of its connection, holds no lock that others need and changes only what is its request's. Its panic is answered with 500 and the end of the connection, counted as client_requests.panicked and logged with the stack. In the coordinator's goroutine, or under the shedder's lock, which handlers take for admission, a panic ends the process: all requests go by that state, and it may be half changed.

--- a/internal/http1/conn_answer.go
+++ b/internal/http1/conn_answer.go
@@ -44,7 +44,7 @@
 		if r.err != nil {
 			return c.answerReadError(r.err)
 		}
-		answer := c.server.Handler(r.req, clientLeft)
+		answer := c.callHandler(r.req, clientLeft)
 		answer.Close = answer.Close || r.req.Close
 		answer.omitBody = r.req.Method == "HEAD"
 		switch {
--- a/internal/http1/counters.go
+++ b/internal/http1/counters.go
@@ -6,6 +6,7 @@
 var (
 	countAccepted        = counters.New("client_connections", "accepted")
 	countAcceptFailed    = counters.New("client_connections", "accept_failed")
+	countHandlerPanicked = counters.New("client_requests", "panicked")
 	countBytesAfterClose = counters.New("client_connections", "bytes_after_close") // connections on which some came
 )
 
--- a/internal/loadshed/shedder.go
+++ b/internal/loadshed/shedder.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -68,11 +70,22 @@
 func (s *Shedder) Admit(a overload.Arrival) (ok bool, retryAfter time.Duration) {
 	now := s.Clock()
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	d := s.controller.Admit(a, now)
 	return d.Admitted, d.RetryAfter
 }
 
+// unlock ends a locked section of a request's goroutine. Under the lock a panic ends the process, although servers recover
+// from those of their handlers: all requests go by the controller, and it may be half changed.
+func (s *Shedder) unlock() {
+	if v := recover(); v != nil {
+		stack := debug.Stack()
+		go panic(fmt.Sprintf("%v under the shedder's lock\n%s", v, stack)) // nobody recovers in that goroutine
+		select {}
+	}
+	s.mu.Unlock()
+}
+
 // QueryDone implements core.Admitter.
 func (s *Shedder) QueryDone(parts int) {
 	s.mu.Lock()
--- a/internal/logmsg/logmsg.go
+++ b/internal/logmsg/logmsg.go
@@ -9,6 +9,7 @@
 	AttemptEnded    = "attempt ended"
 	AttemptWithheld = "attempt withheld"
 	ClientLeft      = "client left"
+	HandlerPanicked = "handler panicked" // at error level, with the stack: its request ended with 500
 	QueryEnded      = "query ended"
 )
 
