operator: operators' calls are stored also where the list is over the limit

Operators saw: with an endpoint list of about 1 MiB (some 7,000 replicas) a replica that they had taken out was in service again after an upgrade or a crash; the log had one line each 10 s that the state file was not written.

Cause: list, calls and what was learned have one limit of 1 MiB, and above it nothing was written: the next process read what last fitted. Evidence: TestCallsOutliveListOverLimit failed on the tree as found.

What does not fit is left out, first what was learned, then the list, and said once in the log. The file keeps the instant of the list, so that a new process takes no older one for the latest and begins with its own.

--- a/internal/operator/state_dir.go
+++ b/internal/operator/state_dir.go
@@ -48,23 +48,39 @@
 // ownPartial is the name of this process's state file while it is written.
 func (d *StateDir) ownPartial() string { return d.own + writingSuffix }
 
-// Write replaces this process's state file completely or not at all. It returns ErrTooLarge or an error of the file
-// system.
+// Write replaces this process's state file completely or not at all. What is over the limit is left out: first what was
+// learned, then the endpoint list, which a new process gets from discovery; the operators' calls stay, for nobody else
+// has them. leftOut names what was. Write returns ErrTooLarge where the calls alone are over the limit, or an error of
+// the file system.
 //
 // A process that is killed while it writes would leave a torn state file in place of its last one, and the operators'
 // calls would be lost. So the new one is written beside it and renamed over it. The directory does not outlive the
 // machine, so nothing is synced: only other processes read it, and they see a rename completely or not at all.
-func (d *StateDir) Write(s StateFile) error {
-	data, err := Encode(s)
+func (d *StateDir) Write(s StateFile) (leftOut []string, err error) {
+	data, leftOut, err := encodeWithinLimit(s)
 	if err != nil {
-		return err
+		return leftOut, err
 	}
 	partial := filepath.Join(d.dir, d.ownPartial())
 	if err := os.WriteFile(partial, data, 0o600); err != nil {
 		os.Remove(partial) // a full disk leaves half of it
-		return err
+		return leftOut, err
 	}
-	return os.Rename(partial, filepath.Join(d.dir, d.own))
+	return leftOut, os.Rename(partial, filepath.Join(d.dir, d.own))
+}
+
+// encodeWithinLimit returns a state file's stored form without what does not fit into the limit.
+func encodeWithinLimit(s StateFile) (data []byte, leftOut []string, err error) {
+	data, err = Encode(s)
+	if errors.Is(err, ErrTooLarge) && s.Checkpoint != nil {
+		s.Checkpoint, leftOut = nil, append(leftOut, "checkpoint")
+		data, err = Encode(s)
+	}
+	if errors.Is(err, ErrTooLarge) && len(s.List) > 0 {
+		s.List, s.Discovery, leftOut = nil, "", append(leftOut, "endpoint list")
+		data, err = Encode(s)
+	}
+	return data, leftOut, err
 }
 
 // ReadChanged returns the other processes' state files that have changed since the last call, in order of the
--- a/internal/operator/store.go
+++ b/internal/operator/store.go
@@ -6,6 +6,8 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -67,6 +69,7 @@
 	nextEncoding time.Duration // until then the endpoint list is not encoded again
 	peers        peerWatch     // whether another process serves
 	writeErrorAt time.Duration // when a failed write was last logged; 0 for never
+	leftOut      []string      // what the last state file lacks, for it would be over the limit
 }
 
 // NewStore returns a Store that begins with what other processes have left. dir is nil where nothing is shared.
@@ -128,7 +131,7 @@
 		if c := o.Checkpoint; c != nil && (s.own.Checkpoint == nil || c.At > s.own.Checkpoint.At) {
 			s.own.Checkpoint = c
 		}
-		if len(o.List) > 0 && o.ListAt > s.own.ListAt {
+		if o.ListAt > s.own.ListAt { // also one that was left out: an older list is not to pass for the latest
 			s.own.ListAt, s.own.List, s.own.Discovery = o.ListAt, o.List, o.Discovery
 		}
 	}
@@ -168,8 +171,14 @@
 	if !unsaved {
 		return
 	}
-	if err := s.StateDir.Write(own); err != nil {
+	leftOut, err := s.StateDir.Write(own)
+	if err != nil {
 		s.writeFailed(err)
+		return
+	}
+	if !slices.Equal(leftOut, s.leftOut) {
+		s.leftOut = leftOut
+		slog.Warn("state file written without what is over its limit", "left_out", strings.Join(leftOut, ", "))
 	}
 }
 
--- a/internal/operator/store_test.go
+++ b/internal/operator/store_test.go
@@ -229,3 +229,31 @@
 		t.Errorf("%d lines", n)
 	}
 }
+
+// A coordinator of a large site has an endpoint list that does not fit into a state file. The operators' calls are written
+// all the same, and hold in the next process; before, the file stayed as it was when it last fitted. The list that it had
+// then is not taken for the latest.
+func TestCallsOutliveListOverLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir := t.TempDir()
+		p := startProcess(t, dir, "n1")
+		p.SetList("d:1", json.RawMessage(`{"index":1}`))
+		time.Sleep(time.Second)
+		p.SetList("d:1", json.RawMessage(`"`+strings.Repeat("x", maxStateFileBytes)+`"`))
+		p.SetCheckpoint(scatter.Checkpoint{At: wallClock()})
+		if err := p.StartMaintenance("a", "staff"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		p.end()
+		time.Sleep(time.Second)
+		next := startProcess(t, dir, "n1")
+		if out := next.coordinator.out(); out != "a" {
+			t.Errorf("out in the next process: %q, want a", out)
+		}
+		if list, discovery := next.InheritedList(); list != nil || discovery != "" {
+			t.Errorf("the next process begins with the list %.40s of %q", list, discovery)
+		}
+		next.end()
+	})
+}
