relay: an authority publishes the valid changes of a batch

Seen: an endpoint that drained was not announced to readers while discovery sent it beside an entry that is too long to be given out; the log said "version published" all the same.

Cause: the log takes a batch as a whole or not at all, and a rejected one was dropped until discovery sent its changes again. Evidence: TestDrainBesideRejectedEntryIsPublished stayed at version 0 before.

A rejected batch is published change by change, each rejected one logged as "endpoint rejected"; "version published" follows only where some was valid.

--- a/internal/relay/authority.go
+++ b/internal/relay/authority.go
@@ -119,9 +119,9 @@
 }
 
 // publishBatches publishes the changes that come in, batchInterval after the first of each batch, until ctx ends; a
-// batch that is not due then is dropped. A batch that the log rejects is dropped too: its changes are not published
-// until discovery sends them again. The line "version published" follows each batch, also one that was rejected or
-// changed nothing: its changes are 0 then, and its version is the one before.
+// batch that is not due then is dropped. Changes that the log rejects are left out of their batch. The line "version
+// published" follows each batch of which any change was valid, also one that changed nothing: its changes are 0 then,
+// and its version is the one before.
 func (a *Authority) publishBatches(ctx context.Context, incoming <-chan []versionlog.Change) {
 	var batch []versionlog.Change
 	var due <-chan time.Time
@@ -132,11 +132,7 @@
 				due = time.After(batchInterval)
 			}
 		case <-due:
-			published, err := a.Endpoints.Publish(batch)
-			if err != nil {
-				slog.Error("endpoint list rejected", logmsg.KeyError, err)
-			}
-			logPublished(distribution.Endpoints, a.Endpoints, published)
+			a.publishBatch(batch)
 			batch, due = nil, nil
 		case <-ctx.Done():
 			return
@@ -144,6 +140,30 @@
 	}
 }
 
+// publishBatch publishes the changes of a batch that the log takes. The log takes a batch as a whole or not at all, so
+// one with a change that is not valid is published change by change: the others are not to wait for discovery to send
+// them again, for a drain may be among them.
+func (a *Authority) publishBatch(batch []versionlog.Change) {
+	published, err := a.Endpoints.Publish(batch)
+	if err == nil {
+		logPublished(distribution.Endpoints, a.Endpoints, published)
+		return
+	}
+	valid := 0
+	for _, change := range batch {
+		n, err := a.Endpoints.Publish([]versionlog.Change{change})
+		if err != nil {
+			slog.Error("endpoint rejected", logmsg.KeyError, err)
+			continue
+		}
+		valid++
+		published += n
+	}
+	if valid > 0 {
+		logPublished(distribution.Endpoints, a.Endpoints, published)
+	}
+}
+
 // changesOf returns the changes that an update of the discovery service makes.
 func changesOf(update distribution.Update) (changes []versionlog.Change) {
 	for _, entry := range update.Entries {
--- a/internal/relay/authority_test.go
+++ b/internal/relay/authority_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"harepass/internal/decide/versionlog"
 	"harepass/internal/test/fake"
@@ -159,3 +160,28 @@
 		t.Errorf("%d slices, %d entries", r.slices, len(r.live))
 	}
 }
+
+// Discovery announces a drain together with an endpoint whose entry is too long to be given out. The drain is published,
+// and only the other entry is not; before, both waited until discovery sent them again.
+func TestDrainBesideRejectedEntryIsPublished(t *testing.T) {
+	server := newAuthorityServer(5, wideBudget)
+	a := &Authority{Endpoints: server.Endpoints, Settings: server.Settings}
+	ctx, cancel := context.WithCancel(context.Background())
+	incoming, ended := make(chan []versionlog.Change), make(chan struct{})
+	go func() {
+		defer close(ended)
+		a.publishBatches(ctx, incoming)
+	}()
+	incoming <- []versionlog.Change{
+		{Name: "long", Object: []byte(`{"name":"long","x":"` + strings.Repeat("x", versionlog.MaxObjectBytes) + `"}`)},
+		{Name: "a", Object: []byte(`{"name":"a","status":"terminating"}`)},
+	}
+	for end := time.Now().Add(5 * time.Second); server.Endpoints.Head().Index == 0 && time.Now().Before(end); {
+		time.Sleep(batchInterval)
+	}
+	cancel()
+	<-ended
+	if index := server.Endpoints.Head().Index; index != 1 {
+		t.Errorf("the list is at version %d, want 1: the drain alone", index)
+	}
+}
