opensearch: a second Cancel closes the attempt's connection before it returns

Seen: at replicas that offer the API a cancelled attempt was still out for a moment after the coordinator took it for ended, and might have sent its part elsewhere: two attempts of a part at once.

Cause: Cancel ended the attempt's context and left the close to the attempt's goroutine, while core.Caller asks for it before the second Cancel returns.

The Caller keeps each attempt's connection and closes it itself. One that has gone back to the idle ones is no longer the attempt's.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"harepass/internal/socket"
@@ -22,8 +23,8 @@
 // longAgo is a deadline that ends a read or write at once.
 var longAgo = time.Unix(1, 0)
 
-// Client is one connection to a server, for one request and one goroutine at a time. It dials when it has to. Its
-// exported fields are set before the first call.
+// Client is one connection to a server, for one request and one goroutine at a time; any goroutine may call Abort. It
+// dials when it has to. Its exported fields are set before the first call.
 type Client struct {
 	// Address is the server's, as Dial takes it.
 	Address string
@@ -32,8 +33,9 @@
 	// Dial opens the connection; nil for plain TCP.
 	Dial Dialer
 
-	conn   net.Conn // nil while there is none
-	reader *Reader  // of conn
+	conn   net.Conn                 // nil while there is none
+	reader *Reader                  // of conn
+	opened atomic.Pointer[net.Conn] // the connection that was opened last, for Abort; nil before the first
 }
 
 // Do sends a request and returns its answer. written reports whether the request's last byte was written: if not, the
@@ -68,10 +70,18 @@
 	c, err := cl.Dial.Connect(ctx, cl.Address)
 	if err == nil {
 		cl.conn, cl.reader = c, NewAnswerReader(cl.Limits)
+		cl.opened.Store(&c)
 	}
 	return err
 }
 
+// Abort closes the connection before it returns, also while another goroutine is in Do, which then ends with an error.
+func (cl *Client) Abort() {
+	if c := cl.opened.Load(); c != nil {
+		(*c).Close()
+	}
+}
+
 // Alive reports whether the idle connection may be used: nothing has come on it, not even its end.
 func (cl *Client) Alive() bool { return cl.conn != nil && !socket.HasUnread(cl.conn) }
 
--- a/internal/opensearch/caller.go
+++ b/internal/opensearch/caller.go
@@ -37,7 +37,14 @@
 	slots     chan struct{}            // holds one for each connection in use; nil for no limit. Set by the first Call
 	idleCount int                      // idle connections of all replicas
 	replicas  map[string]*replicaConns // by replica id
-	cancels   map[*core.Attempt]context.CancelFunc
+	sent      map[*core.Attempt]*sentAttempt
+}
+
+// sentAttempt is an attempt that has not ended.
+type sentAttempt struct {
+	cancel    context.CancelFunc
+	cancelled bool          // Cancel was called
+	client    *http1.Client // its connection; nil before it has one
 }
 
 // Call implements core.Caller. The API has no call of several parts: each attempt has a request and a goroutine of its
@@ -48,11 +55,11 @@
 	conns := caller.connsTo(to.ID)
 	for _, at := range attempts {
 		ctx, cancel := context.WithCancel(context.Background())
-		caller.cancels[at] = cancel
+		caller.sent[at] = &sentAttempt{cancel: cancel}
 		go func() {
 			outcome, value := caller.send(ctx, conns, to, at)
 			caller.mu.Lock()
-			delete(caller.cancels, at)
+			delete(caller.sent, at)
 			caller.mu.Unlock()
 			cancel()
 			caller.Reporter.AttemptEnded(at, outcome, value)
@@ -60,12 +67,28 @@
 	}
 }
 
-// Cancel implements core.Caller. The API cannot take a request back: its connection is closed.
+// Cancel implements core.Caller. The API cannot take a request back: its connection is closed, by the attempt's goroutine
+// or, at a second Cancel, before Cancel returns.
 func (caller *Caller) Cancel(at *core.Attempt) {
 	caller.mu.Lock()
 	defer caller.mu.Unlock()
-	if cancel := caller.cancels[at]; cancel != nil {
-		cancel()
+	s := caller.sent[at]
+	if s == nil {
+		return
+	}
+	s.cancel()
+	if s.cancelled && s.client != nil {
+		s.client.Abort()
+	}
+	s.cancelled = true
+}
+
+// setClient notes the connection of an attempt.
+func (caller *Caller) setClient(at *core.Attempt, c *http1.Client) {
+	caller.mu.Lock()
+	defer caller.mu.Unlock()
+	if s := caller.sent[at]; s != nil {
+		s.client = c
 	}
 }
 
@@ -117,9 +140,10 @@
 	if err != nil {
 		return connectOutcome(ctx, err), nil
 	}
+	caller.setClient(at, c)
 	req, ok := caller.requestFor(at, to.Address) // after the connect, since the request tells the time that is left
 	if !ok || !at.Begin() {
-		caller.keepIdle(conns, to.ID, c)
+		caller.keepIdle(conns, at, c)
 		return scatter.NotSent, nil
 	}
 	m, written, err := c.Do(ctx, req)
@@ -129,7 +153,7 @@
 	if at.WithVersion && m.Status == http.StatusBadRequest {
 		return caller.sendWithoutVersion(ctx, conns, c, to, at)
 	}
-	caller.keepIdle(conns, to.ID, c)
+	caller.keepIdle(conns, at, c)
 	return recordAnswer(at, m)
 }
 
@@ -140,7 +164,7 @@
 	at *core.Attempt) (scatter.Outcome, []byte) {
 	s, ok := at.Origin.(*search)
 	if !ok || at.Remaining() <= 0 {
-		caller.keepIdle(conns, to.ID, c)
+		caller.keepIdle(conns, at, c)
 		return scatter.Errored, nil
 	}
 	req := searchRequest(s.index, at, s.body)
@@ -149,7 +173,7 @@
 	if err != nil {
 		return requestOutcome(ctx, written, err), nil
 	}
-	caller.keepIdle(conns, to.ID, c)
+	caller.keepIdle(conns, at, c)
 	return recordPlainAnswer(at, m)
 }
 
--- a/internal/opensearch/replica_answer_test.go
+++ b/internal/opensearch/replica_answer_test.go
@@ -106,9 +106,9 @@
 			}
 			caller.CloseIdleConnections("n")
 			synctest.Wait()
-			if len(caller.replicas) > 0 || len(caller.cancels) > 0 || caller.idleCount > 0 || len(caller.slots) > 0 {
+			if len(caller.replicas) > 0 || len(caller.sent) > 0 || caller.idleCount > 0 || len(caller.slots) > 0 {
 				t.Errorf("%d replicas, %d attempts, %d idle and %d slots remain",
-					len(caller.replicas), len(caller.cancels), caller.idleCount, len(caller.slots))
+					len(caller.replicas), len(caller.sent), caller.idleCount, len(caller.slots))
 			}
 		})
 	}
--- a/internal/opensearch/replica_conns.go
+++ b/internal/opensearch/replica_conns.go
@@ -37,7 +37,7 @@
 func (caller *Caller) connsTo(replica string) *replicaConns {
 	if caller.replicas == nil {
 		caller.replicas = map[string]*replicaConns{}
-		caller.cancels = map[*core.Attempt]context.CancelFunc{}
+		caller.sent = map[*core.Attempt]*sentAttempt{}
 		if caller.MaxConns > 0 {
 			caller.slots = make(chan struct{}, max(1, caller.MaxConns/2))
 		}
@@ -89,12 +89,15 @@
 	return c, true
 }
 
-// keepIdle keeps a connection for the next request. It is closed if its replica was forgotten meanwhile, or if there
-// are as many idle connections as allowed.
-func (caller *Caller) keepIdle(conns *replicaConns, replica string, c *http1.Client) {
+// keepIdle keeps an attempt's connection for the next request. It is closed if its replica was forgotten meanwhile, or if
+// there are as many idle connections as allowed.
+func (caller *Caller) keepIdle(conns *replicaConns, at *core.Attempt, c *http1.Client) {
 	caller.mu.Lock()
 	defer caller.mu.Unlock()
-	if caller.replicas[replica] != conns || caller.slots != nil && caller.idleCount >= cap(caller.slots) {
+	if s := caller.sent[at]; s != nil {
+		s.client = nil // a later Cancel of the attempt must not close it under another one
+	}
+	if caller.replicas[at.ReplicaID] != conns || caller.slots != nil && caller.idleCount >= cap(caller.slots) {
 		c.Close()
 		return
 	}
