opensearch: attempts of a class without an index are counted and logged

Seen by reading: queries of the platform's front whose class no index has fail at replicas that offer the API, and neither a log line nor a counter told why.

Each such attempt counts as attempts_withheld.no_index, and the first one of a class is logged as "class without index".

--- a/internal/logmsg/logmsg.go
+++ b/internal/logmsg/logmsg.go
@@ -36,6 +36,11 @@
 	SourceLeft     = "source left"
 )
 
+// Messages about replicas that offer the API.
+const (
+	ClassWithoutIndex = "class without index" // no query of the class is sent to such replicas
+)
+
 // Messages about overload.
 const (
 	OverloadLevelChanged = "overload level changed"
--- a/internal/opensearch/caller.go
+++ b/internal/opensearch/caller.go
@@ -38,6 +38,8 @@
 	idleCount int                      // idle connections of all replicas
 	replicas  map[string]*replicaConns // by replica id
 	sent      map[*core.Attempt]*sentAttempt
+
+	withoutIndex map[string]bool // classes that were logged for want of an index
 }
 
 // sentAttempt is an attempt that has not ended.
--- a/internal/opensearch/replica_request.go
+++ b/internal/opensearch/replica_request.go
@@ -3,20 +3,22 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/textproto"
 	"net/url"
 
 	"harepass/internal/core"
+	"harepass/internal/counters"
 	"harepass/internal/decide/retry"
 	"harepass/internal/http1"
+	"harepass/internal/logmsg"
 )
 
 // requestFor builds the request of an attempt to a replica at an address, with the time that is left as the request's
-// time-out. A query of another front goes to the index of its class. ok is false where no index has the class: the attempt ends as
-// NotSent then, as every attempt of that class at replicas that offer the API does, and neither a log line nor a
-// counter tells it. It shows as incomplete or failed queries of one class, and is mended by an index of that
-// class in the configuration file.
+// time-out. A query of another front goes to the index of its class. ok is false where no index has the class: the
+// attempt ends as NotSent then, as every attempt of that class at replicas that offer the API does. That is counted, and
+// logged once for each class; it is mended by an index of that class in the configuration file.
 func (caller *Caller) requestFor(at *core.Attempt, address string) (req *http1.Message, ok bool) {
 	switch origin := at.Origin.(type) {
 	case *search:
@@ -50,6 +52,7 @@
 func (caller *Caller) translate(at *core.Attempt) (req *http1.Message, ok bool) {
 	ix := caller.Config.indexOfClass(at.Class)
 	if ix == nil {
+		caller.reportNoIndex(at.Class)
 		return nil, false
 	}
 	filter := string(at.Body)
@@ -64,6 +67,24 @@
 	return searchRequest(ix, at, body), true
 }
 
+// attemptsWithoutIndex counts the attempts that were not sent because no index has their class.
+var attemptsWithoutIndex = counters.New("attempts_withheld", "no_index")
+
+// reportNoIndex counts an attempt that cannot be sent for want of an index, and logs the first one of its class.
+func (caller *Caller) reportNoIndex(class string) {
+	attemptsWithoutIndex.Inc()
+	caller.mu.Lock()
+	known := caller.withoutIndex[class]
+	if caller.withoutIndex == nil {
+		caller.withoutIndex = map[string]bool{}
+	}
+	caller.withoutIndex[class] = true
+	caller.mu.Unlock()
+	if !known {
+		slog.Warn(logmsg.ClassWithoutIndex, "class", class)
+	}
+}
+
 // searchRequest builds a search of one shard.
 func searchRequest(ix *Index, at *core.Attempt, body []byte) *http1.Message {
 	const target = "/%s/_search?preference=_shards:%d&allow_partial_search_results=false&timeout=%dms"
