faultinjection: test processes reserve addresses that no other one uses

Suspected: a reserved port taken meanwhile. Every test process reserved from the same loopback addresses, and some tests on 127.0.0.1, where outgoing connections take ports.

--- a/cmd/harepass/distribution_test.go
+++ b/cmd/harepass/distribution_test.go
@@ -73,9 +73,9 @@
 // startRelayedProcess starts a process with a folder for its files and its stored state.
 func startRelayedProcess(t *testing.T, r *relays, settings []byte, dir string) *relayedProcess {
 	write := fileWriter(t, dir)
-	p := &relayedProcess{t: t, address: unusedAddress(t), adminAddress: unusedAddress(t)}
+	p := &relayedProcess{t: t, address: ownAddress(t), adminAddress: ownAddress(t)}
 	file := platformFile(t, map[string]any{"listen": p.address, "operator": p.adminAddress,
-		"discovery": unusedAddress(t), "settings": json.RawMessage(settings)})
+		"discovery": ownAddress(t), "settings": json.RawMessage(settings)})
 	distribution := fmt.Sprintf("zone: r1-a\nregion: r1\nheartbeat: 200ms\nsources:\n"+
 		"- {address: %q, zone: r1-a, region: r1}\n- {address: %q, zone: r1-b, region: r1}\n", r.addresses[0], r.addresses[1])
 	p.program = startProgram(t, []string{"TMPDIR=" + dir, "PROXY_CONFIG=" + write("config.json", file)},
--- a/cmd/harepass/harness_test.go
+++ b/cmd/harepass/harness_test.go
@@ -108,13 +108,6 @@
 	return l
 }
 
-// unusedAddress is an address that the program can listen on. Another process may take it meanwhile.
-func unusedAddress(t *testing.T) string {
-	l := listen(t)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // ownAddress is an address that somebody can listen on later: each call's is on a loopback address of its own, where
 // nobody else opens a port.
 func ownAddress(t *testing.T) string {
--- a/cmd/harepass/serve_test.go
+++ b/cmd/harepass/serve_test.go
@@ -24,8 +24,8 @@
 
 // newBothFronts opens the listeners of the replicas and of discovery.
 func newBothFronts(t *testing.T, frames, api *fake.Replicas) *bothFronts {
-	return &bothFronts{t: t, frames: frames, api: api, write: fileWriter(t, t.TempDir()), platform: unusedAddress(t),
-		search: unusedAddress(t), framesAt: listen(t), apiAt: listen(t), discovery: listen(t)}
+	return &bothFronts{t: t, frames: frames, api: api, write: fileWriter(t, t.TempDir()), platform: ownAddress(t),
+		search: ownAddress(t), framesAt: listen(t), apiAt: listen(t), discovery: listen(t)}
 }
 
 // port is the port of a listener.
--- a/internal/test/faultinjection/process.go
+++ b/internal/test/faultinjection/process.go
@@ -36,11 +36,23 @@
 // reservedAddresses counts the addresses that were reserved.
 var reservedAddresses atomic.Int32
 
-// Reserve finds an address for a process that binds it later. It is on a loopback address of its own: a port that is
-// free on the usual one may be taken meanwhile by somebody's outgoing connection. The error is that of listening.
+// How the loopback addresses are divided among the processes that reserve some.
+const (
+	hostsPerBlock     = 250 // values of an address's last byte that are used
+	blocksPerProcess  = 8   // so many times hostsPerBlock addresses each process may reserve before it repeats any
+	blocksPerNetwork  = 250 // values of the byte before the last
+	firstNetwork      = 64  // least value of the second byte
+	reservingNetworks = 128 // values of the second byte
+)
+
+// Reserve finds an address for a process that binds it later. Nobody else uses its IP address: a port that is free on
+// the usual one may be taken meanwhile by somebody's outgoing connection, and one that another process of tests has
+// reserved and closed may be given to this one. The error is that of listening.
 func Reserve() (string, error) {
 	n := int(reservedAddresses.Add(1))
-	l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", 2+n/250%250, 1+n%250))
+	block := (os.Getpid()*blocksPerProcess + n/hostsPerBlock%blocksPerProcess) % (blocksPerNetwork * reservingNetworks)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0",
+		firstNetwork+block/blocksPerNetwork, block%blocksPerNetwork, 1+n%hostsPerBlock))
 	if err != nil {
 		return "", err
 	}
