operator: a replica called back stays in service beside an old state file

Operators saw: a replica that they had called back was out again after an upgrade or a crash, hours later and without a call.

Cause: a call back is forgotten after ten minutes, at the next call. The state file of a process that was killed before it still has the replica as out, and a process that starts later reads all files. Evidence: TestCalledBackReplicaStaysInBesideOldStateFile ended with "a b" out, want "b", on the tree as found.

A call back is kept while another process's file, as last read, has the replica as out. It is forgotten when files are written, by the goroutine that reads them.

--- a/internal/decide/maintenance/register.go
+++ b/internal/decide/maintenance/register.go
@@ -50,12 +50,14 @@
 	return out
 }
 
-// Prune drops the entries of replicas that were called back before a time: they are as any other replica again. Other
-// registers may still have such an entry, and merging one brings it back. Merging one that lacks the call back and has
-// the replica as out takes it out again. So a call back has to be kept for longer than any register without it may yet
-// be merged, and for longer than a slow start takes, which Effective has begin at the call back.
-func (r Register) Prune(before time.Duration) {
-	maps.DeleteFunc(r, func(_ string, e Entry) bool { return !e.Out && e.At < before })
+// Prune drops the entries of replicas that were called back before a time: they are as any other replica again. The time
+// has to be longer ago than a slow start takes, which Effective has begin at the call back. Other registers may still
+// have such an entry, and merging one brings it back, which changes nothing. Merging one that has the replica as out
+// would take it out again, so a call back stays while isOutElsewhere says that there is such a register; nil for none.
+func (r Register) Prune(before time.Duration, isOutElsewhere func(id string) bool) {
+	maps.DeleteFunc(r, func(id string, e Entry) bool {
+		return !e.Out && e.At < before && (isOutElsewhere == nil || !isOutElsewhere(id))
+	})
 }
 
 // Effective returns a listed replica as the scatter machine is to hear of it. A replica that is out drains. One that
--- a/internal/decide/maintenance/register_test.go
+++ b/internal/decide/maintenance/register_test.go
@@ -115,7 +115,7 @@
 // Replicas called back long ago are forgotten; those that are out never are.
 func TestPruneKeepsReplicasThatAreOut(t *testing.T) {
 	r := Register{"back": {At: 4 * time.Second}, "out": {Out: true, At: time.Second}}
-	if r.Prune(time.Minute); len(r) != 1 || len(r.Out()) != 1 {
+	if r.Prune(time.Minute, nil); len(r) != 1 || len(r.Out()) != 1 {
 		t.Errorf("left %v", r)
 	}
 }
--- a/internal/operator/maintenance.go
+++ b/internal/operator/maintenance.go
@@ -9,7 +9,8 @@
 	"harepass/internal/logmsg"
 )
 
-// callBackLifetime is how long a call back is remembered. By then the replica is warmed up, and as any other.
+// callBackLifetime is how long a call back is remembered, or longer, while another process's state file has the replica
+// as out. By then the replica is warmed up, and as any other.
 const callBackLifetime = 10 * time.Minute
 
 // NotListedError says that a call names a replica that is not listed. Its text is wire.
@@ -52,9 +53,7 @@
 	if _, known := s.own.Maintenance[id]; !known && !s.Coordinator.HasEndpoint(id) {
 		return false, &NotListedError{id}
 	}
-	now := s.Clock()
-	s.own.Maintenance.Prune(now - callBackLifetime)
-	changed = s.own.Maintenance.Apply(id, maintenance.Entry{Out: out, At: now, By: by})
+	changed = s.own.Maintenance.Apply(id, maintenance.Entry{Out: out, At: s.Clock(), By: by})
 	if changed {
 		s.unsaved = true
 		s.notify()
--- a/internal/operator/state_dir.go
+++ b/internal/operator/state_dir.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io/fs"
 	"log/slog"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -33,6 +35,7 @@
 	dir      string
 	own      string                 // name of this process's state file
 	lastRead map[string]fs.FileInfo // the other state files when they were last read, by name
+	out      map[string][]string    // ids of the replicas that are out by the other state files, by the files' names
 }
 
 // OpenStateDir makes the directory where it is missing. started is this process's start: state files' names are in
@@ -42,7 +45,7 @@
 		return nil, err
 	}
 	own := fmt.Sprintf("%016x-%d%s", started.UnixNano(), os.Getpid(), stateFileSuffix)
-	return &StateDir{dir: dir, own: own, lastRead: map[string]fs.FileInfo{}}, nil
+	return &StateDir{dir: dir, own: own, lastRead: map[string]fs.FileInfo{}, out: map[string][]string{}}, nil
 }
 
 // ownPartial is the name of this process's state file while it is written.
@@ -107,11 +110,23 @@
 			slog.Warn(msgNotUsed, "file", path, logmsg.KeyError, err)
 			continue
 		}
+		d.out[name] = slices.Collect(maps.Keys(s.Maintenance.Out()))
 		list = append(list, s)
 	}
 	return list
 }
 
+// hasOut reports whether a replica is out by another process's state file, as that was when it was last read. A process
+// that starts later may read the file, though its writer has ended.
+func (d *StateDir) hasOut(id string) bool {
+	for _, ids := range d.out {
+		if slices.Contains(ids, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // sameFile reports whether a file is as it was when it was last read; nil where it was not read yet.
 func sameFile(last, now fs.FileInfo) bool {
 	return last != nil && os.SameFile(last, now) && last.ModTime().Equal(now.ModTime()) && last.Size() == now.Size()
@@ -149,6 +164,7 @@
 	for len(others) > maxOldStateFiles {
 		d.remove(others[0])
 		delete(d.lastRead, others[0])
+		delete(d.out, others[0])
 		others = others[1:]
 	}
 }
--- a/internal/operator/store.go
+++ b/internal/operator/store.go
@@ -190,6 +190,9 @@
 		s.unsaved = true
 		s.notify()
 	}
+	if s.unsaved {
+		s.own.Maintenance.Prune(s.Clock()-callBackLifetime, s.StateDir.hasOut)
+	}
 	own, unsaved = s.own, s.unsaved
 	own.Maintenance, s.unsaved = maps.Clone(own.Maintenance), false
 	return own, unsaved
--- a/internal/operator/store_test.go
+++ b/internal/operator/store_test.go
@@ -257,3 +257,35 @@
 		next.end()
 	})
 }
+
+// A process that took a replica out was killed, and left its state file. The next process calls the replica back, and
+// hours later another call comes, when the call back is as old as those that are forgotten. The process after that one
+// reads both files: the replica stays in service, for the first file's call is not the last one.
+func TestCalledBackReplicaStaysInBesideOldStateFile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir := t.TempDir()
+		call := func(p process, out bool, id string) {
+			call := p.StartMaintenance
+			if !out {
+				call = p.EndMaintenance
+			}
+			if err := call(id, "staff"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		first := startProcess(t, dir, "n1")
+		call(first, true, "a")
+		first.end()
+		second := startProcess(t, dir, "n1")
+		call(second, false, "a")
+		time.Sleep(2 * time.Hour)
+		call(second, true, "b")
+		second.end()
+		third := startProcess(t, dir, "n1")
+		if out := third.coordinator.out(); out != "b" {
+			t.Errorf("out in the third process: %q, want b", out)
+		}
+		third.end()
+	})
+}
