operator: a state file that could not be read is read again

Operators saw: a call at one process did not hold at the other one of an upgrade, if the file system failed to read the state file in that moment (EIO): the file was left out until it changed again.

Cause: a file counted as read before it was. Evidence by reading, and by TestStateFileIsReadAgainAfterFailure, which fails once the file is entered as read before the read (the injected read is new, so the test does not build on the tree as found).

Only a file that was read counts as read; one that cannot be used stays left out until it changes. The failure is logged once.

--- a/internal/operator/state_dir.go
+++ b/internal/operator/state_dir.go
@@ -35,7 +35,9 @@
 	dir      string
 	own      string                 // name of this process's state file
 	lastRead map[string]fs.FileInfo // the other state files when they were last read, by name
+	unread   map[string]fs.FileInfo // those whose reading failed since, by name: they are read again, and logged once
 	out      map[string][]string    // ids of the replicas that are out by the other state files, by the files' names
+	readFile func(path string) ([]byte, error)
 }
 
 // OpenStateDir makes the directory where it is missing. started is this process's start: state files' names are in
@@ -45,7 +47,8 @@
 		return nil, err
 	}
 	own := fmt.Sprintf("%016x-%d%s", started.UnixNano(), os.Getpid(), stateFileSuffix)
-	return &StateDir{dir: dir, own: own, lastRead: map[string]fs.FileInfo{}, out: map[string][]string{}}, nil
+	return &StateDir{dir: dir, own: own, lastRead: map[string]fs.FileInfo{}, unread: map[string]fs.FileInfo{},
+		out: map[string][]string{}, readFile: os.ReadFile}, nil
 }
 
 // ownPartial is the name of this process's state file while it is written.
@@ -87,9 +90,8 @@
 }
 
 // ReadChanged returns the other processes' state files that have changed since the last call, in order of the
-// processes' starts. One that cannot be used is logged and left out.
-//
-// A file counts as read before it is: one whose reading fails, if only for a moment, is left out until it changes.
+// processes' starts. One that cannot be used is logged and left out until it changes. One that the file system fails to
+// read is logged, and read again at the next call.
 func (d *StateDir) ReadChanged() (list []StateFile) {
 	paths, err := filepath.Glob(filepath.Join(d.dir, "*"+stateFileSuffix))
 	if err != nil {
@@ -104,8 +106,17 @@
 		if err != nil || sameFile(d.lastRead[name], info) {
 			continue
 		}
+		s, err := d.read(path, info.Size())
+		var failed *fs.PathError
+		if errors.As(err, &failed) {
+			if !sameFile(d.unread[name], info) {
+				slog.Warn(msgNotUsed, "file", path, logmsg.KeyError, err)
+			}
+			d.unread[name] = info
+			continue
+		}
 		d.lastRead[name] = info
-		s, err := readStateFile(path, info.Size())
+		delete(d.unread, name)
 		if err != nil {
 			slog.Warn(msgNotUsed, "file", path, logmsg.KeyError, err)
 			continue
@@ -132,12 +143,12 @@
 	return last != nil && os.SameFile(last, now) && last.ModTime().Equal(now.ModTime()) && last.Size() == now.Size()
 }
 
-// readStateFile reads a file of a size in bytes. It returns ErrTooLarge or an error of the file system or of Decode.
-func readStateFile(path string, size int64) (StateFile, error) {
+// read reads a file of a size in bytes. It returns ErrTooLarge, a *fs.PathError or an error of Decode.
+func (d *StateDir) read(path string, size int64) (StateFile, error) {
 	if size > maxStateFileBytes {
 		return StateFile{}, fmt.Errorf("%w: %d bytes, at most %d are read", ErrTooLarge, size, maxStateFileBytes)
 	}
-	data, err := os.ReadFile(path)
+	data, err := d.readFile(path)
 	if err != nil {
 		return StateFile{}, err
 	}
@@ -164,6 +175,7 @@
 	for len(others) > maxOldStateFiles {
 		d.remove(others[0])
 		delete(d.lastRead, others[0])
+		delete(d.unread, others[0])
 		delete(d.out, others[0])
 		others = others[1:]
 	}
--- a/internal/operator/state_file_test.go
+++ b/internal/operator/state_file_test.go
@@ -6,7 +6,10 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io/fs"
+	"os"
 	"reflect"
+	"syscall"
 	"testing"
 	"time"
 
@@ -74,3 +77,27 @@
 		}
 	})
 }
+
+// The file system fails to read another process's state file for a moment. It is read again, although it has not changed:
+// it may hold an operator's call.
+func TestStateFileIsReadAgainAfterFailure(t *testing.T) {
+	dir := t.TempDir()
+	writer := openDir(t, dir)
+	if _, err := writer.Write(StateFile{Name: "n1"}); err != nil {
+		t.Fatal(err)
+	}
+	reader := openDir(t, dir)
+	reader.own = "reader" + stateFileSuffix
+	reader.readFile = func(path string) ([]byte, error) {
+		return nil, &fs.PathError{Op: "read", Path: path, Err: syscall.EIO}
+	}
+	if list := reader.ReadChanged(); len(list) != 0 {
+		t.Errorf("%d files were read", len(list))
+	}
+	reader.readFile = os.ReadFile
+	for _, want := range []int{1, 0} {
+		if list := reader.ReadChanged(); len(list) != want {
+			t.Errorf("%d files were read, want %d", len(list), want)
+		}
+	}
+}
