--- a/internal/operator/state_file.go
+++ b/internal/operator/state_file.go
@@ -16,7 +16,7 @@
 // stored, and read by other versions of the program.
 type StateFile struct {
 	Name        string               `json:"name"`                // of the coordinator
-	ListAt      time.Duration        `json:"at"`                  // instant at which List was entered, also where it is left out; 0 for none
+	ListAt      time.Duration        `json:"at"`                  // instant at which List was entered; 0 for none
 	Maintenance maintenance.Register `json:"book"`                // the operators' calls
 	Discovery   string               `json:"discovery,omitempty"` // address that the endpoint list came from
 	List        json.RawMessage      `json:"list,omitempty"`      // endpoint list, in discovery's form
