backoff: only calls that waited in vain spread a fleet over the whole lease

Cause: the spread over the whole lease came after rejections at once too. These take no time of discovery's; calls that wait in its queue until they fail do.

--- a/internal/decide/backoff/schedule.go
+++ b/internal/decide/backoff/schedule.go
@@ -90,12 +90,13 @@
 
 // failureInterval is the interval, after minFailureDelay, from which the next call is drawn. Each further failure may
 // spread a large fleet over another MaxSpread, so that discovery can work off the calls that it has failed. A fleet that
-// needs all of the time until lists expire is spread over its whole interval from the first failure on: calls that come
-// sooner wait in discovery's queue until they fail, and nobody is answered.
+// needs all of the time until lists expire is spread over its whole interval once a call has failed for want of capacity:
+// calls that come sooner wait in discovery's queue until they fail, and nobody is answered. Calls that fail at once have
+// taken no time of discovery's, and the next one may be answered.
 func (s *Schedule) failureInterval(expiresIn time.Duration) time.Duration {
 	slots := s.load.slots
 	longest := min(s.ListMaxAge, time.Duration(slots)*MaxSpread)
-	if s.needsWholeLease() {
+	if s.needsWholeLease() && slots > 1 {
 		longest = s.ListMaxAge
 	}
 	interval := s.spreadingInterval(slots) - s.queueTime()
