Review cases 1 and 3: calls fail after the site's 2 s; a crash is no verdict on drains

Cause: calls failed after 1.9 s, and the site file has 2 s. A coordinator that ended by itself counted as the claimed break.

--- a/review/cmd/case1/main.go
+++ b/review/cmd/case1/main.go
@@ -19,7 +19,7 @@
 	slack      = 50 * time.Millisecond
 	givenTime  = 6 * time.Second                      // for the new process to say yes
 	killAfter  = 3*time.Second + 700*time.Millisecond // from SIGTERM to SIGKILL
-	longest    = 1900 * time.Millisecond              // a call that has waited that long fails
+	longest    = 2 * time.Second                      // a call that has waited that long fails
 )
 
 func main() {
@@ -135,8 +135,7 @@
 	c.CopyLog(old, 5000)
 	c.CopyLog(next, 5000)
 	if next.Ended() {
-		c.Say("the new process has ended")
-		c.End(kit.Broken)
+		c.Fail("the new process has ended by itself, which is not what this case is about")
 	}
 	if statuses[200] < 100 {
 		c.Fail("too few answers")
--- a/review/cmd/case2/main.go
+++ b/review/cmd/case2/main.go
@@ -290,8 +290,7 @@
 	n.mu.Unlock()
 	if p.Ended() {
 		c.CopyLog(p, 4000)
-		c.Say("the coordinator has ended")
-		c.End(kit.Broken)
+		c.Fail("the coordinator has ended by itself, which is not what this case is about")
 	}
 	if checked < 20 {
 		c.CopyLog(p, 4000)
--- a/review/cmd/case3/main.go
+++ b/review/cmd/case3/main.go
@@ -12,13 +12,13 @@
 )
 
 const (
-	calm    = 3 * time.Second         // before the crowd
-	before  = 2 * time.Second         // from the beginning of the crowd to the drain
-	crowded = 20 * time.Second        // how long the crowd lasts
-	turn    = 1900 * time.Millisecond // how long a call waits until it fails
-	after   = 4 * time.Second         // watched after its end
-	told    = 6 * time.Second         // from the drain to when it counts as told at the latest
-	grace   = time.Second             // stop_sending_within_us
+	calm    = 3 * time.Second  // before the crowd
+	before  = 2 * time.Second  // from the beginning of the crowd to the drain
+	crowded = 20 * time.Second // how long the crowd lasts
+	turn    = 2 * time.Second  // how long a call waits until it fails
+	after   = 4 * time.Second  // watched after its end
+	told    = 6 * time.Second  // from the drain to when it counts as told at the latest
+	grace   = time.Second      // stop_sending_within_us
 	slack   = 50 * time.Millisecond
 )
 
@@ -108,8 +108,7 @@
 	c.Say("answers %v, parts by node %v, others answered %d times", statuses, count, others)
 	switch {
 	case p.Ended():
-		c.Say("the coordinator has ended")
-		c.End(kit.Broken)
+		c.Fail("the coordinator has ended by itself, which is not what this case is about")
 	case statuses[200] < 40 || count["s-0"] < 10 || others < 30:
 		c.Fail("too little traffic")
 	case late > 0:
