--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -3,6 +3,7 @@
 import (
 	"harepass/internal/counters"
 	"harepass/internal/decide/scatter"
+	"harepass/internal/decide/twophase"
 	"harepass/internal/logmsg"
 )
 
@@ -40,6 +41,14 @@
 	withheldCancelled:    counters.New("attempts_withheld", "taken_back"),
 }
 
+// firstPhasesEnded counts the first phases of parts, by what their answers prove.
+var firstPhasesEnded = [...]*counters.Counter{
+	twophase.Inconclusive: counters.New("first_phases", "inconclusive"),
+	twophase.NeedsFull:    counters.New("first_phases", "needs_full"),
+	twophase.Empty:        counters.New("first_phases", "empty"),
+	twophase.Unchanged:    counters.New("first_phases", "unchanged"),
+}
+
 // Names of statuses and outcomes in counters and log lines.
 var (
 	statusNames = [...]string{
--- a/internal/core/first_phase.go
+++ b/internal/core/first_phase.go
@@ -207,6 +207,7 @@
 	evidence.Readable = evidence.Readable && succeeded
 	verdict, value := c.cfg.Planner.ObserveFirstPhase(q.topic(), p.shard, string(q.Body), evidence, full.deferred,
 		c.now)
+	firstPhasesEnded[verdict].Inc()
 	if verdict.Proves() && full.value == nil {
 		if verdict == twophase.Empty {
 			value = q.EmptyValue
