Two phases: retain answers only of searches that documents alone decide

Callers saw: a search with a moving time window (range from now-20s), repeated against an index with two_phase, went on returning pins that no map node found any more, in answers marked complete, until a document of the section changed.

Cause: the planner retained the answer to every search and gave it out while the version over the section's documents was the same. The version says nothing of the clock (date math in range, bool, query_string) or of other documents (terms lookup, indexed_shape).

Second line: a first phase with another number of matches than the retained value's is Contradicted, and the section is asked in full. Tests that plan cacheable queries now say so; the cache's model also checks the number of matches.

--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -47,6 +47,7 @@
 	twophase.NeedsFull:    counters.New("first_phases", "needs_full"),
 	twophase.Empty:        counters.New("first_phases", "empty"),
 	twophase.Unchanged:    counters.New("first_phases", "unchanged"),
+	twophase.Contradicted: counters.New("first_phases", "contradicted"),
 }
 
 // Names of statuses and outcomes in counters and log lines.
--- a/internal/core/first_phase.go
+++ b/internal/core/first_phase.go
@@ -73,7 +73,8 @@
 // exceed the open limit, all shards are declared incapable of first phases. If the settings no longer contain the
 // query's class, ObjectiveAt stays 0: no time is left, so no part is deferred.
 func (c *Coordinator) planRequest(q *query) twophase.Request {
-	request := twophase.Request{Topic: q.topic(), Body: string(q.Body), Capable: c.supportsFirstPhase, Now: c.now}
+	request := twophase.Request{Topic: q.topic(), Body: string(q.Body), Cacheable: q.Cacheable,
+		Capable: c.supportsFirstPhase, Now: c.now}
 	if class := c.inForce().class(q.Class); class != nil {
 		request.ObjectiveAt = min(q.Deadline, c.now+class.LatencyObjective)
 	}
@@ -215,7 +216,7 @@
 		full.value, full.pruned, full.deferred = value, true, false
 		c.notify(scatter.PartReleased{ID: full.id, Resolved: true})
 	}
-	full.wantsVersion = c.cfg.Planner.WantsVersion(q.topic(), p.shard)
+	full.wantsVersion = q.Cacheable && c.cfg.Planner.WantsVersion(q.topic(), p.shard)
 	c.release(full)
 	c.endPartFirstPhase(full)
 }
--- a/internal/core/first_phase_test.go
+++ b/internal/core/first_phase_test.go
@@ -41,7 +41,7 @@
 // search submits a query over shards 0 to 3 that may have a first phase.
 func (h *harness) search() *Query {
 	q := h.query("free", 0, 1, 2, 3)
-	q.Index, q.Body, q.EmptyValue = "ix", []byte("text"), []byte("none")
+	q.Index, q.Body, q.EmptyValue, q.Cacheable = "ix", []byte("text"), []byte("none"), true
 	q.Done = func(a Answer) {
 		h.answers = append(h.answers, fmt.Sprintf("%s %t %q %v", statusNames[a.Status], a.Complete, a.Values, a.Pruned))
 	}
@@ -234,7 +234,7 @@
 		}
 		for range 12 {
 			q := h.query("free", 0, 1, 2, 3)
-			q.Tenant, q.Index, q.Body = "t", "ix", []byte("text")
+			q.Tenant, q.Index, q.Body, q.Cacheable = "t", "ix", []byte("text"), true
 			h.submit(q)
 		}
 		return len(h.open.byID)
--- a/internal/core/query.go
+++ b/internal/core/query.go
@@ -20,8 +20,9 @@
 	IdempotencyKeys []string      // values of retry.IdempotencyKeyHeader, one for each header line
 	Origin          any           // the front's own form of the query, for Callers that know it
 	Admitted        bool          // Admit has admitted the query for the front, so Execute does not call it
-	Index           string        // the Planner caches the parts' values under it; if empty, there is no first phase
+	Index           string        // the Planner's topic; if empty, there is no first phase
 	EmptyValue      []byte        // with an Index: the value of a shard without hits
+	Cacheable       bool          // with an Index: nothing but a shard's documents decides the shard's value for Body
 	Parts           []Part        // one for each shard that the query needs
 
 	// Done receives the one final answer. The coordinator's goroutine calls it, so it must not block. Execute sets it.
--- a/internal/decide/twophase/cache.go
+++ b/internal/decide/twophase/cache.go
@@ -24,6 +24,7 @@
 	shard       *shardState
 	body        string
 	value       []byte // nil if none is cached
+	matches     int64  // with a value: the shard's exact number of matches; -1 if unknown
 	invalidated bool   // a value was dropped as outdated since the body was last requested
 	element     *list.Element
 }
@@ -46,22 +47,23 @@
 	}
 }
 
-// get returns a cached value and marks its entry as the most recently used.
-func (c *cache) get(s *shardState, body string) (value []byte, ok bool) {
+// get returns the entry of a body with a cached value, nil if there is none, and marks it as the most recently used.
+func (c *cache) get(s *shardState, body string) *entry {
 	e := s.entries[body]
 	if e == nil || e.value == nil {
-		return nil, false
+		return nil
 	}
 	c.recency.MoveToFront(e.element)
-	return e.value, true
+	return e
 }
 
-// put caches a copy of a value. It copies because the value may be a slice of a larger buffer.
-func (c *cache) put(s *shardState, body string, value []byte) {
+// put caches a copy of a value with its number of matches. It copies because the value may be a slice of a larger buffer.
+func (c *cache) put(s *shardState, body string, value []byte, matches int64) {
 	if e := s.entries[body]; e != nil {
 		c.remove(e)
 	}
-	c.add(&entry{shard: s, body: body, value: append(make([]byte, 0, len(value)), value...)})
+	value = append(make([]byte, 0, len(value)), value...)
+	c.add(&entry{shard: s, body: body, value: value, matches: matches})
 }
 
 func (c *cache) add(e *entry) {
@@ -97,9 +99,15 @@
 func (c *cache) invalidate(s *shardState) {
 	for _, e := range s.entries {
 		if e.value != nil {
-			c.bytes -= len(e.value)
-			c.values--
-			e.value, e.invalidated = nil, true
+			c.dropValue(e)
+			e.invalidated = true
 		}
 	}
 }
+
+// dropValue drops the value of an entry, which must have one. The entry stays.
+func (c *cache) dropValue(e *entry) {
+	c.bytes -= len(e.value)
+	c.values--
+	e.value = nil
+}
--- a/internal/decide/twophase/cache_test.go
+++ b/internal/decide/twophase/cache_test.go
@@ -82,7 +82,11 @@
 			body  string
 			v     Version
 		}
-		cached := map[key]string{}
+		type answer struct {
+			value   string
+			matches int64
+		}
+		cached := map[key]answer{}
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "seconds")) * time.Second
 			shard := rapid.IntRange(0, 2).Draw(t, "shard")
@@ -95,19 +99,20 @@
 			switch rapid.IntRange(0, 2).Draw(t, "call") {
 			case 0:
 				p.Plan(Request{
-					Topic: testTopic, Body: body, Shards: []int{0, 1, 2}, Now: now, ObjectiveAt: now + time.Second,
+					Topic: testTopic, Body: body, Cacheable: true, Shards: []int{0, 1, 2}, Now: now,
+					ObjectiveAt: now + time.Second,
 				})
 			case 1:
 				value := strings.Repeat(fmt.Sprint(i), rapid.IntRange(1, 900).Draw(t, "size"))
 				p.ObserveFullWithVersion(testTopic, shard, body, ev, []byte(value), now)
 				if ev.Readable && ev.Versioned {
-					cached[key{shard, body, v}] = value
+					cached[key{shard, body, v}] = answer{value, ev.Matches}
 				}
 			case 2:
 				verdict, value := p.ObserveFirstPhase(testTopic, shard, body, ev, true, now)
 				if verdict == Unchanged &&
-					(!ev.Readable || !ev.Versioned || cached[key{shard, body, v}] != string(value)) {
-					t.Fatalf("verdict Unchanged with %.20q, cached %.20q", value, cached[key{shard, body, v}])
+					(!ev.Readable || !ev.Versioned || cached[key{shard, body, v}] != answer{string(value), ev.Matches}) {
+					t.Fatalf("verdict Unchanged with %.20q for %+v, cached %.20v", value, ev, cached[key{shard, body, v}])
 				}
 				if verdict == Empty && (!ev.Readable || ev.Matches != 0) {
 					t.Fatalf("verdict Empty for evidence %+v", ev)
--- a/internal/decide/twophase/doc.go
+++ b/internal/decide/twophase/doc.go
@@ -8,7 +8,8 @@
 // for each full query sent, ObserveLatency for each served part, ObserveFirstPhase for each first-phase answer, and
 // ObserveFullWithVersion for each answer to a full query that requested the shard's version. Answers to full queries
 // without the version must not be passed to ObserveFullWithVersion: an answer without versions stops caching for its
-// shard. Values that a Planner returns belong to its cache and must not be modified.
+// shard. Full queries whose Request is not Cacheable must not request the version, so that no value of theirs is cached.
+// Values that a Planner returns belong to its cache and must not be modified.
 //
 // # Terms
 //
--- a/internal/decide/twophase/planner.go
+++ b/internal/decide/twophase/planner.go
@@ -9,6 +9,7 @@
 type Request struct {
 	Topic
 	Body        string               // everything that a shard's answer depends on, besides the shard's data
+	Cacheable   bool                 // Body and the shard's documents alone decide a shard's answer
 	Shards      []int                // shard of each part, in the order of the parts
 	Capable     func(shard int) bool // whether every holder of a shard supports first phases; nil if all do
 	Now         time.Duration        // instant of arrival
@@ -79,8 +80,11 @@
 			continue
 		}
 		s := p.shard(r.Index, r.Shards[i])
-		requested, cached := s.lookUp(r.Body)
-		p.cache.recordRequest(s, r.Body)
+		requested, cached := false, false
+		if r.Cacheable {
+			requested, cached = s.lookUp(r.Body)
+			p.cache.recordRequest(s, r.Body)
+		}
 		mode, explores := t.chooseMode(s, requested, cached, deferral)
 		if explores {
 			t.nextExplored = (i + 1) % len(r.Shards)
--- a/internal/decide/twophase/planner_test.go
+++ b/internal/decide/twophase/planner_test.go
@@ -37,7 +37,7 @@
 // query runs one query and returns how many of its shards got no full query.
 func (s *simulation) query(body string) (pruned int) {
 	s.now += time.Second
-	r := Request{Topic: testTopic, Body: body, Now: s.now, ObjectiveAt: s.now + 1500*ms}
+	r := Request{Topic: testTopic, Body: body, Cacheable: true, Now: s.now, ObjectiveAt: s.now + 1500*ms}
 	for shard := range s.shards {
 		r.Shards = append(r.Shards, shard)
 	}
@@ -115,7 +115,7 @@
 func TestDeferralLeavesTimeForFullAnswer(t *testing.T) {
 	p := New(1 << 20)
 	plan := func(left time.Duration) Plan {
-		return p.Plan(Request{Topic: testTopic, Body: "q", Shards: []int{0, 1},
+		return p.Plan(Request{Topic: testTopic, Body: "q", Cacheable: true, Shards: []int{0, 1},
 			Now: time.Second, ObjectiveAt: time.Second + left})
 	}
 	if got := plan(1600 * ms); got.MaxDeferral != 200*ms || got.Modes[0] != InTwoPhases {
@@ -137,8 +137,9 @@
 		}
 	}
 	got := p.Plan(Request{
-		Topic: testTopic, Body: "q", Shards: []int{0, 1}, Capable: func(shard int) bool { return shard == 1 },
-		Now: time.Second, ObjectiveAt: 3 * time.Second,
+		Topic: testTopic, Body: "q", Cacheable: true, Shards: []int{0, 1},
+		Capable: func(shard int) bool { return shard == 1 },
+		Now:     time.Second, ObjectiveAt: 3 * time.Second,
 	})
 	if got.Modes[0] != Full || got.Modes[1] != InTwoPhases {
 		t.Errorf("%+v, want the full query for the shard whose holders do not support first phases", got)
@@ -153,7 +154,8 @@
 	firstPhases := 0
 	for i := range 200 {
 		at := time.Duration(i) * time.Second
-		plan := p.Plan(Request{Topic: testTopic, Body: "q", Shards: []int{0}, Now: at, ObjectiveAt: at + time.Second})
+		plan := p.Plan(Request{Topic: testTopic, Body: "q", Cacheable: true, Shards: []int{0}, Now: at,
+			ObjectiveAt: at + time.Second})
 		if plan.Modes[0] == InTwoPhases {
 			firstPhases++
 			p.ObserveFirstPhase(testTopic, 0, "q", versioned(version(0), 1), false, at)
@@ -164,3 +166,17 @@
 		t.Errorf("%d of 200 queries used a first phase that never saved a full query, want at most 60", firstPhases)
 	}
 }
+
+// Something else than the documents decides the answer to a query, say the clock. Its full queries request no version,
+// however often it is repeated, so no value of it is cached.
+func TestUncacheableQueryRequestsNoVersion(t *testing.T) {
+	p, now := New(1<<20), time.Duration(0)
+	p.ObserveFullWithVersion(testTopic, 0, "cacheable", versioned(version(0), 1), []byte("value"), 0)
+	for range 20 {
+		now += time.Second
+		plan := p.Plan(Request{Topic: testTopic, Body: "q", Shards: []int{0}, Now: now, ObjectiveAt: now + time.Second})
+		if plan.Modes[0] == FullWithVersion {
+			t.Errorf("after %v: an uncacheable query requests the version", now)
+		}
+	}
+}
--- a/internal/decide/twophase/verdict.go
+++ b/internal/decide/twophase/verdict.go
@@ -22,11 +22,14 @@
 	NeedsFull            // the shard may have matches, and no cached value is proven to be valid
 	Empty                // the shard has no match
 	Unchanged            // the cached value equals the shard's present answer
+	// Contradicted is NeedsFull although the shard's documents are those of the cached value: their number of matches is
+	// another one, so something else than the documents decides the shard's answer. The value is dropped.
+	Contradicted
 )
 
 // String returns the verdict in a word or two.
 func (v Verdict) String() string {
-	return [...]string{"inconclusive", "needs full", "empty", "unchanged"}[v]
+	return [...]string{"inconclusive", "needs full", "empty", "unchanged", "contradicted"}[v]
 }
 
 // Proves reports whether the shard's answer is known without the full query.
@@ -61,10 +64,15 @@
 	if ev.Matches == 0 {
 		return Empty, nil
 	}
-	if value, ok := p.cache.get(s, body); ok && ev.Versioned { // acceptVersion has dropped an outdated value
-		return Unchanged, value
+	e := p.cache.get(s, body)
+	switch {
+	case e == nil || !ev.Versioned: // acceptVersion has dropped an outdated value
+		return NeedsFull, nil
+	case e.matches != ev.Matches && e.matches >= 0 && ev.Matches >= 0:
+		p.cache.dropValue(e)
+		return Contradicted, nil
 	}
-	return NeedsFull, nil
+	return Unchanged, e.value
 }
 
 // acceptVersion records the version of a shard that a replica shows, and reports whether that replica's answer may be
@@ -90,6 +98,6 @@
 	s := p.shard(t.Index, shard)
 	s.versioned = ev.Readable && ev.Versioned
 	if s.versioned && p.acceptVersion(s, ev.Version, now) {
-		p.cache.put(s, body, value)
+		p.cache.put(s, body, value, ev.Matches)
 	}
 }
--- a/internal/decide/twophase/verdict_test.go
+++ b/internal/decide/twophase/verdict_test.go
@@ -14,6 +14,8 @@
 		want Verdict
 	}{
 		{"unchanged", versioned(at7, 3), Unchanged},
+		{"unchanged, matches not counted", versioned(at7, -1), Unchanged},
+		{"unchanged documents, another number of matches", versioned(at7, 4), Contradicted},
 		{"changed", versioned(Version{10, 8, 1, 44}, 3), NeedsFull},
 		{"a document deleted", versioned(Version{9, 7, 1, 37}, 3), NeedsFull},
 		{"lagging replica", versioned(Version{10, 6, 1, 39}, 3), Inconclusive},
--- a/internal/opensearch/front_query.go
+++ b/internal/opensearch/front_query.go
@@ -50,7 +50,7 @@
 	q := f.newQuery(r, ix, tenant, s.timeout)
 	q.RequireComplete, q.Body, q.Origin = !s.partialAllowed, s.body, s
 	if ix.TwoPhase != nil {
-		q.Index, q.EmptyValue = ix.name, emptyHits
+		q.Index, q.EmptyValue, q.Cacheable = ix.name, emptyHits, s.cacheable
 	}
 	q.Parts = ix.parts(s.shards)
 	if len(q.Parts) == 0 { // no shard can match
--- a/internal/opensearch/search.go
+++ b/internal/opensearch/search.go
@@ -24,6 +24,7 @@
 	body           []byte // search that each replica receives
 	firstPhaseBody []byte // search of the first phase; nil if the index has none
 	versionedBody  []byte // body that also requests the shard's version; nil if the index has no first phase
+	cacheable      bool   // nothing but a shard's documents decides the shard's answer to body; false without first phase
 }
 
 const (
@@ -63,6 +64,7 @@
 	s.body, _ = json.Marshal(body) // raw values of decoded JSON: cannot fail
 	if ix.TwoPhase != nil {
 		s.firstPhaseBody, s.versionedBody = twoPhaseBodies(ix.TwoPhase.VersionField, body)
+		s.cacheable = isCacheableSearch(body)
 	}
 	return s, nil
 }
--- a/internal/test/endtoend/truth.go
+++ b/internal/test/endtoend/truth.go
@@ -64,7 +64,8 @@
 // docText returns a document's text in a value: its ID, its version and its depth of snow.
 func docText(id string, version, snow any) string { return fmt.Sprintf("%s@%v=%v", id, version, snow) }
 
-// Values returns the values that a section had at any of its holders between two instants.
+// Values returns the values that a section had at any of its holders between two instants. The query must depend on
+// nothing but the section's documents.
 func (t Truth) Values(query map[string]any, section int, from, to time.Time) map[string]bool {
 	raw, _ := json.Marshal(query)
 	var q map[string]json.RawMessage
@@ -79,7 +80,7 @@
 			}
 			var list []string
 			for _, doc := range state.Docs {
-				if fake.Matches(section, doc, q) {
+				if fake.Matches(section, doc, q, fake.Evaluation{}) {
 					list = append(list, docText(doc.ID, doc.Version, doc.Fields["snow_cm"]))
 				}
 			}
--- a/internal/test/fake/documents.go
+++ b/internal/test/fake/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -24,6 +25,25 @@
 	shards      map[int][]Document // sorted by ID; a slice is replaced, never modified
 	history     map[int][]ShardState
 	nextVersion float64 // version of the next document that Put gets without one
+	terms       map[string][]any
+}
+
+// SetTerms sets the terms that a terms lookup finds in the document with the given ID, which is in no shard.
+func (d *Data) SetTerms(id string, terms ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.terms = maps.Clone(d.terms)
+	if d.terms == nil {
+		d.terms = map[string][]any{}
+	}
+	d.terms[id] = terms
+}
+
+// Terms returns the terms that terms lookups find. The caller must not modify them.
+func (d *Data) Terms() map[string][]any {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.terms
 }
 
 // ShardState is the content of a shard from an instant on.
--- a/internal/test/fake/match.go
+++ b/internal/test/fake/match.go
@@ -7,7 +7,7 @@
 
 // Matches reports whether a document of a shard matches a query. Replicas know match_all, match_none, term, terms,
 // range, and bool queries of these; a query of any other kind matches every document.
-func Matches(shard int, doc Document, query map[string]json.RawMessage) bool {
+func Matches(shard int, doc Document, query map[string]json.RawMessage, e Evaluation) bool {
 	for kind, raw := range query {
 		var fields map[string]json.RawMessage
 		json.Unmarshal(raw, &fields)
@@ -15,10 +15,14 @@
 		case "match_none":
 			return false
 		case "bool":
-			return matchesBool(shard, doc, fields)
+			return matchesBool(shard, doc, fields, e)
+		case "query_string":
+			var text string
+			json.Unmarshal(fields["query"], &text)
+			return e.matchesQueryString(shard, doc, text)
 		case "term", "terms", "range":
 			for field, wanted := range fields {
-				if !matchesValue(kind, fieldValue(shard, doc, field), wanted) {
+				if !matchesValue(kind, fieldValue(shard, doc, field), wanted, e) {
 					return false
 				}
 			}
@@ -29,11 +33,11 @@
 
 // matchesBool reports whether a document matches a bool query. If the query has should clauses, at least one must
 // match.
-func matchesBool(shard int, doc Document, clauses map[string]json.RawMessage) bool {
+func matchesBool(shard int, doc Document, clauses map[string]json.RawMessage, e Evaluation) bool {
 	hasShould, shouldMatches := false, false
 	for name, raw := range clauses {
 		for _, query := range clauseQueries(raw) {
-			matches := Matches(shard, doc, query)
+			matches := Matches(shard, doc, query, e)
 			switch name {
 			case "must", "filter":
 				if !matches {
@@ -62,16 +66,15 @@
 }
 
 // matchesValue reports whether a field's value satisfies a term, terms or range query.
-func matchesValue(kind string, value any, raw json.RawMessage) bool {
+func matchesValue(kind string, value any, raw json.RawMessage, e Evaluation) bool {
 	var wanted any
 	json.Unmarshal(raw, &wanted)
 	switch kind {
 	case "terms":
-		list, _ := wanted.([]any)
-		return slices.Contains(list, value)
+		return slices.Contains(e.wantedTerms(wanted), value)
 	case "range":
 		bounds, _ := wanted.(map[string]any)
-		return matchesRange(value, bounds)
+		return matchesRange(value, bounds, e)
 	}
 	if object, ok := wanted.(map[string]any); ok {
 		wanted = object["value"]
@@ -80,10 +83,10 @@
 }
 
 // matchesRange reports whether a value is a number within bounds.
-func matchesRange(value any, bounds map[string]any) bool {
+func matchesRange(value any, bounds map[string]any, e Evaluation) bool {
 	number, within := value.(float64)
 	for name, raw := range bounds {
-		bound, _ := raw.(float64)
+		bound := e.bound(raw)
 		switch name {
 		case "gt":
 			within = within && number > bound
--- a/internal/test/fake/search.go
+++ b/internal/test/fake/search.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"time"
 )
 
 const (
@@ -45,10 +46,10 @@
 	if err := json.Unmarshal(body, &q); err != nil {
 		return malformedError
 	}
-	docs := r.Data.Docs(shard)
+	docs, evaluation := r.Data.Docs(shard), Evaluation{Now: time.Now(), Terms: r.Data.Terms()}
 	var found []Document
 	for _, doc := range docs {
-		if Matches(shard, doc, q.Query) {
+		if Matches(shard, doc, q.Query, evaluation) {
 			found = append(found, doc)
 		}
 	}
