twophase: 2^53 is not an exact version, since 2^53 + 1 rounds to it

Callers could see: a document whose version goes from 2^53 to 2^53 + 1 shows the same maximum, so the change goes unnoticed and the retained value is given out.

Cause: Valid accepted the first number that a float64 no longer tells from the next one.

Change: maxExact is 2^53 - 1. TestEvidenceOfReplicaAnswer has both ends.

--- a/internal/decide/twophase/version.go
+++ b/internal/decide/twophase/version.go
@@ -13,8 +13,8 @@
 	Sum  float64 // sum of the versions
 }
 
-// maxExact is the highest version that a float64 distinguishes from the adjacent versions.
-const maxExact = 1 << 53
+// maxExact is the highest version that a float64 distinguishes from both adjacent versions.
+const maxExact = 1<<53 - 1
 
 // Valid reports whether a version can be distinguished from others: its numbers are finite and lose no digits in a
 // float64.
--- a/internal/opensearch/first_phase_test.go
+++ b/internal/opensearch/first_phase_test.go
@@ -75,7 +75,8 @@
 	if got := evidenceOf(&http1.Message{Status: 500, Body: []byte(versionedSearch)}); got.Readable {
 		t.Error("answer with status 500 is read for evidence")
 	}
-	for _, v := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), 1 << 54} {
+	// 1<<53 may be the rounded form of 1<<53 + 1: a change from one to the other would go unnoticed.
+	for _, v := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), 1 << 54, 1 << 53, -1 << 53} {
 		if (twophase.Version{Docs: 1, Max: v, Min: v, Sum: v}).Valid() {
 			t.Errorf("version %g is taken to be valid", v)
 		}
