Relays: the authority waits for its turn at a crowded discovery

Cause: the authority's follower gave each call up after 0.8 s, the time-outs meant for calls between relays, so it lost its turn each time and heard nothing while the crowd lasted.

Evidence: TestAuthorityIsHeardByCrowdedDiscovery failed on the code before: readers had the node in service when the drain counted as notified. A coordinator that asks such a discovery itself allows 2.25 s and was in time.

Change: Config.FirstCallTimeout for the first call to a source and for probes; the authority sets it to backoff.CallTimeout. Continued watches keep their time-out.

Why it works: a first call is answered in its turn, and calls that continue its watch need none.

--- a/internal/distribution/config.go
+++ b/internal/distribution/config.go
@@ -43,6 +43,9 @@
 	// SilenceTolerance is how long after the heartbeat an answer may arrive before its source counts as silent. If it
 	// is 0, DefaultSilenceTolerance is used.
 	SilenceTolerance time.Duration
+	// FirstCallTimeout is how long the first call to a source may take. A service that answers its callers in turn needs
+	// it: only calls that continue a watch need no turn. If it is 0, the sum of Heartbeat and SilenceTolerance is used.
+	FirstCallTimeout time.Duration
 	// StaleAfter is the staleness at which a source counts as stale and the Follower looks for a fresher one. If it is
 	// 0, failover.DefaultStaleAfter or three heartbeats are used, whichever is longer.
 	StaleAfter time.Duration
@@ -74,6 +77,9 @@
 	if cfg.SilenceTolerance == 0 {
 		cfg.SilenceTolerance = DefaultSilenceTolerance
 	}
+	if cfg.FirstCallTimeout == 0 {
+		cfg.FirstCallTimeout = cfg.Heartbeat + cfg.SilenceTolerance
+	}
 	if cfg.StaleAfter == 0 {
 		cfg.StaleAfter = max(failover.DefaultStaleAfter, staleHeartbeats*cfg.Heartbeat)
 	}
--- a/internal/distribution/follower.go
+++ b/internal/distribution/follower.go
@@ -99,7 +99,7 @@
 	defer func() { client.Close() }() // closes the client as of the return: a switch replaces it
 	defer f.clearSource()
 	for first := true; ; { // first: the next poll is the first of its source
-		err := f.poll(ctx, client, f.maxWait(first))
+		err := f.poll(ctx, client, f.maxWait(first), f.callTimeout(first))
 		first = false
 		if ctx.Err() != nil {
 			return
--- a/internal/distribution/poll.go
+++ b/internal/distribution/poll.go
@@ -14,9 +14,9 @@
 
 // poll asks the current source for changes that the local copy lacks, and applies the answer. If it returns an error,
 // no part of an answer was applied.
-func (f *Follower) poll(ctx context.Context, client *http1.Client, maxWait time.Duration) error {
+func (f *Follower) poll(ctx context.Context, client *http1.Client, maxWait, timeout time.Duration) error {
 	cursor, known := f.state.Cursor()
-	answer, err := f.call(ctx, client, cursor, known, maxWait)
+	answer, err := f.call(ctx, client, cursor, known, maxWait, timeout)
 	if err != nil {
 		return err
 	}
@@ -27,10 +27,10 @@
 }
 
 // call asks a source for changes after a cursor, and returns the answer without parsing it. The error wraps
-// context.DeadlineExceeded if no answer arrived within the sum of Heartbeat and SilenceTolerance.
+// context.DeadlineExceeded if no answer arrived within the time-out.
 func (f *Follower) call(ctx context.Context, client *http1.Client, cursor versionlog.Cursor, known bool,
-	maxWait time.Duration) (*http1.Message, error) {
-	limited, cancel := context.WithTimeout(ctx, f.cfg.Heartbeat+f.cfg.SilenceTolerance)
+	maxWait, timeout time.Duration) (*http1.Message, error) {
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	f.totals.calls.Add(1)
 	answer, _, err := client.Do(limited, &http1.Message{Method: "GET",
--- a/internal/distribution/probe.go
+++ b/internal/distribution/probe.go
@@ -83,7 +83,7 @@
 	cursor, known := f.state.Cursor()
 	go func() {
 		p := probe{source: source, client: f.client(source)}
-		answer, err := f.call(ctx, p.client, cursor, known, noWait)
+		answer, err := f.call(ctx, p.client, cursor, known, noWait, f.cfg.FirstCallTimeout)
 		if err == nil {
 			p.staleness, p.answeredAt = stalenessOf(answer), time.Now()
 			err = checkUpToDate(answer, cursor)
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -31,3 +31,11 @@
 	}
 	return f.cfg.Heartbeat
 }
+
+// callTimeout returns how long the next poll may take; first is whether it is the first poll of its source.
+func (f *Follower) callTimeout(first bool) time.Duration {
+	if first {
+		return f.cfg.FirstCallTimeout
+	}
+	return f.cfg.Heartbeat + f.cfg.SilenceTolerance
+}
--- a/internal/relay/authority.go
+++ b/internal/relay/authority.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"harepass/internal/decide/backoff"
 	"harepass/internal/decide/failover"
 	"harepass/internal/decide/versionlog"
 	"harepass/internal/distribution"
@@ -106,7 +107,8 @@
 	}
 	changes := make(chan []versionlog.Change)
 	follower := distribution.New(distribution.Config{Path: distribution.Endpoints, AcceptAnySnapshot: true,
-		MaxBody: maxDiscoveryBody, Sources: []failover.Source{{Address: a.Discovery}}, Check: checkEndpoints,
+		FirstCallTimeout: backoff.CallTimeout, MaxBody: maxDiscoveryBody,
+		Sources: []failover.Source{{Address: a.Discovery}}, Check: checkEndpoints,
 		Apply: func(update distribution.Update) {
 			select {
 			case changes <- changesOf(update):
