Rejected polls prolong no list that discovery has confirmed, at any fleet size

Cause: recordFailure took each 503 for an absent discovery where the fleet had over 60 coordinators, and renewed the lease. The exception was made for fleets that wait for their first answers, and held for confirmed lists as well.

Change: lease.Rejected. A confirmed list is not renewed. Until the first answer after a start or a reload a rejected call renews for as long as discovery needs to answer the fleet once, if that is over 6 s; no switch at 60 is left.

--- a/internal/decide/backoff/schedule.go
+++ b/internal/decide/backoff/schedule.go
@@ -114,7 +114,7 @@
 	interval := s.spreadingInterval(slots) - s.queueTime()
 	interval = s.bound(interval, s.maxSpread()-minFailureDelay, longest-minFailureDelay)
 	beforeExpiry := expiresIn - minFailureDelay - s.load.serviceTimeout()
-	if beforeExpiry > 0 && s.AnsweredBeforeExpiry() {
+	if beforeExpiry > 0 && s.answeredBeforeExpiry() {
 		interval = min(interval, beforeExpiry)
 	}
 	return interval
--- a/internal/decide/backoff/spreading.go
+++ b/internal/decide/backoff/spreading.go
@@ -69,14 +69,17 @@
 	return time.Duration(slots*s.FleetSize) * callSlot
 }
 
-// AnsweredBeforeExpiry reports whether discovery can answer one call of each coordinator of the fleet before the
+// FleetWait returns the time that discovery needs to answer one call of each coordinator of the fleet.
+func (s *Schedule) FleetWait() time.Duration { return s.spreadingInterval(1) }
+
+// answeredBeforeExpiry reports whether discovery can answer one call of each coordinator of the fleet before the
 // endpoint lists expire, if the lists were last confirmed when the fleet lost discovery.
-func (s *Schedule) AnsweredBeforeExpiry() bool { return s.spreadingInterval(1) <= maxIntervalInLease }
+func (s *Schedule) answeredBeforeExpiry() bool { return s.spreadingInterval(1) <= maxIntervalInLease }
 
 // needsWholeLease reports whether discovery can answer the fleet before its endpoint lists expire, but not in time
 // (maxIntervalInTime).
 func (s *Schedule) needsWholeLease() bool {
-	return s.AnsweredBeforeExpiry() && s.spreadingInterval(1) > maxIntervalInTime
+	return s.answeredBeforeExpiry() && s.spreadingInterval(1) > maxIntervalInTime
 }
 
 // queueTime is the part of a spreading interval that calls may instead spend in discovery's queue without failing.
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -29,14 +29,16 @@
 	notifiedAfter time.Duration // time from a change until it counts as notified
 	grace         time.Duration // time after notifiedAfter in which attempts may still begin
 	expires       time.Duration // instant from which the list must not be used
+	confirmed     bool          // discovery has confirmed the list since New or, if it came later, ServiceChanged
+	waitsFrom     time.Duration // while not confirmed: when the wait for the first confirmation began
 }
 
 // New returns the lease of a process that starts at now with a stored endpoint list. Changes count as notified to the
-// process after the longer of listMaxAge, which may be 0, and backoff.NotifiedAfter. The first Confirmed, Unreachable
-// or Unanswered ends this start-up time, and ServiceChanged may shorten it. drainGrace is the time for which the
+// process after the longer of listMaxAge, which may be 0, and backoff.NotifiedAfter. The first Confirmed, Unreachable,
+// Rejected or Unanswered ends this start-up time, and ServiceChanged may shorten it. drainGrace is the time for which the
 // platform still allows attempts at an endpoint after its drain counts as notified.
 func New(now, listMaxAge, drainGrace time.Duration) Lease {
-	l := Lease{countsFrom: now, notifiedAfter: backoff.NotifiedAfter, grace: usableGrace(drainGrace)}
+	l := Lease{countsFrom: now, notifiedAfter: backoff.NotifiedAfter, grace: usableGrace(drainGrace), waitsFrom: now}
 	l.expires = now + max(listMaxAge, backoff.NotifiedAfter) + l.grace
 	return l
 }
@@ -60,6 +62,7 @@
 
 // Confirmed records that the list was the latest one at the given instant, as discovery's answer showed.
 func (l *Lease) Confirmed(at time.Duration) {
+	l.confirmed = true
 	l.notifiedAfter = backoff.NotifiedAfter
 	l.renew(at)
 }
@@ -74,11 +77,28 @@
 	l.expires = min(l.expires, l.countsFrom+l.notifiedAfter+l.grace)
 }
 
+// Rejected records that a call which began at the given instant failed in a way in which both an overloaded discovery and
+// one that is down fail calls. Discovery may have answered others, so the lease of a confirmed list is not renewed.
+//
+// A list that has not been confirmed is the exception. After a start or a reload the whole fleet waits for its first
+// answers, and fleetWait is the time that discovery needs for them. If that is longer than backoff.NotifiedAfter, most
+// coordinators would reject all queries before discovery can answer them. Until fleetWait is over, such calls therefore
+// renew the lease as Unreachable does, and an endpoint that drains meanwhile may get attempts for too long.
+func (l *Lease) Rejected(began, fleetWait time.Duration) {
+	excess := fleetWait - backoff.NotifiedAfter
+	if l.confirmed || excess <= 0 {
+		l.Unanswered()
+		return
+	}
+	l.renew(min(began, l.waitsFrom+excess))
+}
+
 // ServiceChanged records that a reload named another discovery service at the given instant. Until that service has
 // answered, its changes count as notified after backoff.NotifiedAfterReload. ServiceChanged never extends the lease.
 func (l *Lease) ServiceChanged(at time.Duration) {
 	// NotifiedAfterReload, which is shorter, applies from now on. Moving countsFrom forward by the difference keeps the
 	// instant at which changes at the old service count as notified. countsFrom never moves past the reload itself.
+	l.confirmed, l.waitsFrom = false, at
 	l.countsFrom = min(at, l.countsFrom+l.notifiedAfter-backoff.NotifiedAfterReload)
 	l.notifiedAfter = backoff.NotifiedAfterReload
 	l.expires = min(l.expires, at+l.notifiedAfter+l.grace)
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -43,6 +43,25 @@
 			l.Unreachable(5 * second)
 			l.Unanswered()
 		}, 5*second + notified},
+		"confirmed, then rejected": {func(l *Lease) {
+			l.Confirmed(2 * second)
+			l.Rejected(5*second, 30*second)
+		}, 2*second + notified},
+		"rejected, in a fleet that is answered in time": {func(l *Lease) {
+			l.Rejected(5*second, 6*second)
+		}, notified},
+		"rejected, in a fleet that is not": {func(l *Lease) {
+			l.Rejected(3*second, 10*second)
+		}, 3*second + notified},
+		"rejected after the fleet could have been answered": {func(l *Lease) {
+			l.Rejected(3*second, 10*second)
+			l.Rejected(9*second, 10*second)
+		}, 10 * second},
+		"another service that rejects calls, in a fleet that is not answered in time": {func(l *Lease) {
+			l.Confirmed(2 * second)
+			l.ServiceChanged(3 * second)
+			l.Rejected(20*second, 10*second)
+		}, 3*second + 4*second + reloaded},
 		"confirmations out of order": {func(l *Lease) {
 			l.Confirmed(5 * second)
 			l.Confirmed(4 * second)
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -172,8 +172,10 @@
 // recordFailure records the failure that ended a subscription and returns the delay before the next one.
 func (d *Discovery) recordFailure(f *pollFailure) (delay time.Duration) {
 	switch e := f.evidence(); {
-	case e == provesUnreachable, e == mayBeOverloaded && !d.Schedule.AnsweredBeforeExpiry():
+	case e == provesUnreachable:
 		d.lease.Unreachable(f.began)
+	case e == mayBeOverloaded:
+		d.lease.Rejected(f.began, d.Schedule.FleetWait())
 	case !f.watch:
 		d.lease.Unanswered()
 	}
--- a/internal/platform/poll_failure.go
+++ b/internal/platform/poll_failure.go
@@ -44,8 +44,7 @@
 
 // evidence is what a failed call proves about discovery. A change of the list counts as notified some time after
 // discovery had it and could be reached. So a call extends the time for which the list may be used only if it proves
-// that discovery could not be reached, or if it may mean that and the fleet is too large for all its coordinators to be
-// answered before the list expires (recordFailure).
+// that discovery could not be reached. lease.Rejected has the one exception, for mayBeOverloaded.
 //
 //	how the call ended                          what it can mean                            evidence
 //	connection refused, timed out, or no route  nothing accepts connections there           provesUnreachable
