Tests: one play of a drain beside a faulty discovery, one coordinator of one replica

Cause: two tests of drains and two of deadlines had the same steps written twice; a few statements of the end-to-end rig were lines of up to 170 characters.

Change: playDrain, newOneReplicaCoordinator and runWithReplica; one field a line. Checks and bounds are as they were.

Measured: internal/test/endtoend, the platform's deadline tests and TestDrainBehind...Discovery pass.

--- a/cmd/harepass/crowded_discovery_test.go
+++ b/cmd/harepass/crowded_discovery_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,19 +56,10 @@
 	for _, fleet := range []int{3, 35, 300} {
 		t.Run(fmt.Sprint(fleet), func(t *testing.T) {
 			t.Parallel()
-			p := newLimitedProcess(t, 256, 6)
-			d := &crowdedDiscovery{process: p, resetDelay: 930 * time.Millisecond}
-			var parts lateParts
-			parts.watch(p.replicas[:2])
-			startFleetMember(t, p, d, fleet)
-			time.Sleep(1500 * time.Millisecond)
-			parts.drainNow()
-			d.crowded.Store(true)
-			statuses := p.queryFor(12 * time.Second)
-			d.crowded.Store(false)
-			eventually(t, "service resumes", func() bool { return query(t, p.address, 0, 1, 2, 3, 4, 5) == 200 })
-			parts.check(t, p, d)
-			checkServedOrRejected(t, statuses)
+			playDrain(t, fleet, func(d *crowdedDiscovery) *atomic.Bool {
+				d.resetDelay = 930 * time.Millisecond
+				return &d.crowded
+			})
 		})
 	}
 }
@@ -100,16 +92,24 @@
 
 // playDrainBehindRejectingDiscovery drains two replicas while discovery rejects the polls of one member of a fleet.
 func playDrainBehindRejectingDiscovery(t *testing.T, fleet int) {
+	playDrain(t, fleet, func(d *crowdedDiscovery) *atomic.Bool { return &d.rejecting })
+}
+
+// playDrain drains two replicas while discovery has a fault for one member of a fleet. prepare returns the switch that
+// turns the fault on. No part may reach those replicas too late, each query has to be served or rejected, and the member
+// has to serve again after the fault.
+func playDrain(t *testing.T, fleet int, prepare func(d *crowdedDiscovery) (fault *atomic.Bool)) {
 	p := newLimitedProcess(t, 256, 6)
 	d := &crowdedDiscovery{process: p}
+	fault := prepare(d)
 	var parts lateParts
 	parts.watch(p.replicas[:2])
 	startFleetMember(t, p, d, fleet)
 	time.Sleep(1500 * time.Millisecond)
 	parts.drainNow()
-	d.rejecting.Store(true)
+	fault.Store(true)
 	statuses := p.queryFor(12 * time.Second)
-	d.rejecting.Store(false)
+	fault.Store(false)
 	eventually(t, "service resumes", func() bool { return query(t, p.address, 0, 1, 2, 3, 4, 5) == 200 })
 	parts.check(t, p, d)
 	checkServedOrRejected(t, statuses)
--- a/internal/platform/deadline_test.go
+++ b/internal/platform/deadline_test.go
@@ -43,23 +43,8 @@
 	}
 	defer caller.Close()
 	clock := core.SystemClock()
-	settings := scatter.Settings{
-		Coordinators: 1, RingSize: 1, ReplicationFactor: 1, PartsPerCall: 1, TickInterval: time.Millisecond,
-		MaxAttempts: 4, Cancellation: true, RetryAfter: time.Second,
-		Classes: []scatter.Class{{Name: "c", LatencyObjective: 1500 * time.Millisecond, Deadline: 3 * time.Second,
-			PriorityWeight: 1, CompleteFraction: 1, MinFraction: 1}},
-	}
-	coordinator, err := core.New(core.Config{Seed: 1, Settings: settings, Clock: clock, Subscribe: func() {},
-		PolledSource: "test", Callers: map[string]core.Caller{Scheme: caller}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	caller.Reporter = coordinator
-	go coordinator.Run()
-	defer coordinator.Stop()
-	replica := scatter.Replica{ID: "n0", State: scatter.Ready}
-	endpoint := core.Endpoint{Replica: replica, Address: l.Addr().String(), Scheme: Scheme}
-	coordinator.UpdateEndpoints("test", scatter.FullUpdate, []core.Endpoint{endpoint})
+	coordinator := newOneReplicaCoordinator(t, caller, clock)
+	runWithReplica(t, coordinator, l.Addr().String())
 	until := time.Now().Add(budget)
 	query := &core.Query{ID: "q", Class: "c", Deadline: clock() + budget, Parts: []core.Part{{Shard: 0, Weight: 1}}}
 	a := coordinator.Execute(query, nil)
@@ -103,15 +88,8 @@
 	}
 }
 
-// serveFront serves the platform's protocol to clients with a coordinator of one replica, and returns the address.
-func serveFront(t *testing.T, fleet *fake.Replicas) string {
-	replicaListener, clients := listenLocal(t), listenLocal(t)
-	go fleet.ServeFrames(replicaListener)
-	caller := &Caller{
-		CallsPerConn: 32, ConnectTimeout: 5 * time.Second, ResponseTimeout: time.Second, KeepAlive: 30 * time.Second,
-	}
-	t.Cleanup(caller.Close)
-	clock := core.SystemClock()
+// newOneReplicaCoordinator returns a coordinator of one replica, which it reaches by a Caller.
+func newOneReplicaCoordinator(t *testing.T, caller *Caller, clock core.Clock) *core.Coordinator {
 	settings := scatter.Settings{
 		Coordinators: 1, RingSize: 1, ReplicationFactor: 1, PartsPerCall: 1, TickInterval: time.Millisecond,
 		MaxAttempts: 4, Cancellation: true, RetryAfter: time.Second,
@@ -124,11 +102,29 @@
 		t.Fatal(err)
 	}
 	caller.Reporter = coordinator
-	replica := scatter.Replica{ID: "n0", State: scatter.Ready}
-	endpoint := core.Endpoint{Replica: replica, Address: replicaListener.Addr().String(), Scheme: Scheme}
-	coordinator.UpdateEndpoints("test", scatter.FullUpdate, []core.Endpoint{endpoint})
+	return coordinator
+}
+
+// runWithReplica runs a coordinator until the end of the test, with one replica at an address in its list.
+func runWithReplica(t *testing.T, coordinator *core.Coordinator, address string) {
 	go coordinator.Run()
 	t.Cleanup(coordinator.Stop)
+	replica := scatter.Replica{ID: "n0", State: scatter.Ready}
+	endpoint := core.Endpoint{Replica: replica, Address: address, Scheme: Scheme}
+	coordinator.UpdateEndpoints("test", scatter.FullUpdate, []core.Endpoint{endpoint})
+}
+
+// serveFront serves the platform's protocol to clients with a coordinator of one replica, and returns the address.
+func serveFront(t *testing.T, fleet *fake.Replicas) string {
+	replicaListener, clients := listenLocal(t), listenLocal(t)
+	go fleet.ServeFrames(replicaListener)
+	caller := &Caller{
+		CallsPerConn: 32, ConnectTimeout: 5 * time.Second, ResponseTimeout: time.Second, KeepAlive: 30 * time.Second,
+	}
+	t.Cleanup(caller.Close)
+	clock := core.SystemClock()
+	coordinator := newOneReplicaCoordinator(t, caller, clock)
+	runWithReplica(t, coordinator, replicaListener.Addr().String())
 	server := &http1.Server{
 		Handler: (&Front{Coordinator: coordinator, Clock: clock}).Handle, Limits: http1.DefaultLimits}
 	go server.Serve(clients)
--- a/internal/test/endtoend/coordinator.go
+++ b/internal/test/endtoend/coordinator.go
@@ -65,10 +65,20 @@
 	frames := &platform.Caller{CallsPerConn: frameCallsPerConn, ConnectTimeout: connectTimeout,
 		ResponseTimeout: responseTimeout, KeepAlive: keepAlive, Dial: net.Dial}
 	api := &opensearch.Caller{Config: cfg, ConnectTimeout: connectTimeout, KeepAlive: keepAlive, Dial: net.Dial}
-	owner, err := core.New(core.Config{Seed: 1, Settings: s.Settings, Limits: core.Limits{Shards: s.Sections}, Clock: c.Clock,
-		Callers: map[string]core.Caller{platform.Scheme: frames, opensearch.Scheme: api}, Subscribe: func() {}, PolledSource: listSource,
-		Planner: c.Planner, TwoPhaseClasses: cfg.TwoPhaseClasses(),
-		TwoPhaseSchemes: map[string]bool{opensearch.Scheme: true}, CacheBytes: s.CacheBytes, Admitter: s.Admitter})
+	owner, err := core.New(core.Config{
+		Seed:            1,
+		Settings:        s.Settings,
+		Limits:          core.Limits{Shards: s.Sections},
+		Clock:           c.Clock,
+		Callers:         map[string]core.Caller{platform.Scheme: frames, opensearch.Scheme: api},
+		Subscribe:       func() {},
+		PolledSource:    listSource,
+		Planner:         c.Planner,
+		TwoPhaseClasses: cfg.TwoPhaseClasses(),
+		TwoPhaseSchemes: map[string]bool{opensearch.Scheme: true},
+		CacheBytes:      s.CacheBytes,
+		Admitter:        s.Admitter,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -93,7 +103,8 @@
 		} else {
 			go n.ServeAPI(listener)
 		}
-		list = append(list, core.Endpoint{Replica: scatter.Replica{ID: n.ID, RingPosition: n.Cell}, Address: n.ID, Scheme: scheme})
+		replica := scatter.Replica{ID: n.ID, RingPosition: n.Cell}
+		list = append(list, core.Endpoint{Replica: replica, Address: n.ID, Scheme: scheme})
 	}
 	return list
 }
@@ -111,6 +122,7 @@
 	if err != nil {
 		panic(err) // callers must pass a body that JSON can encode
 	}
-	m := c.front.Handle(&http1.Message{Method: "POST", Target: target, Header: textproto.MIMEHeader{}, Body: data}, make(chan struct{}))
+	request := &http1.Message{Method: "POST", Target: target, Header: textproto.MIMEHeader{}, Body: data}
+	m := c.front.Handle(request, make(chan struct{}))
 	return m.Status, m.Body
 }
--- a/internal/test/endtoend/retained_test.go
+++ b/internal/test/endtoend/retained_test.go
@@ -11,8 +11,8 @@
 	"harepass/internal/test/fake"
 )
 
-// Ages of the two pins of each section when the searches begin. The searches' time window reaches back 20 s, so the older
-// pin leaves it after 9.5 s, between two searches; the younger one stays in it until the last search.
+// Ages of the two pins of each section when the searches begin. The searches' time window reaches back 20 s, so the
+// older pin leaves it after 9.5 s, between two searches; the younger one stays in it until the last search.
 const (
 	olderPinAge   = 10500 * ms
 	youngerPinAge = 500 * ms
@@ -101,8 +101,8 @@
 func TestFixedTimeWindowIsPruned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c, _ := startPinSite(t, true)
-		query := fmt.Sprintf(`{"bool":{"filter":[{"range":{"noted_at":{"gte":%d}}},{"terms":{"resort":["teine","furano"]}}]}}`,
-			time.Now().Add(-20*time.Second).UnixMilli())
+		const filters = `{"range":{"noted_at":{"gte":%d}}},{"terms":{"resort":["teine","furano"]}}`
+		query := fmt.Sprintf(`{"bool":{"filter":[`+filters+`]}}`, time.Now().Add(-20*time.Second).UnixMilli())
 		pruned := 0
 		for range 5 {
 			_, pruned = searchHits(t, c, query)
