A watch answered 503 ends a list's confirmation, so outages cost large fleets less

Cause: since coordinators of large fleets with a confirmed list refuse in an outage that shows as 503s.

Change: lease.WatchRejected. A watch waits for no turn, so a crowd does not explain a 503 for it; the list then counts as not confirmed, as after a start, and lease.Rejected's exception holds until the next answer, for 0.1 s for each coordinator at most. A watch that is reset or silent changes nothing, and fleets of up to 60 have no exception.

--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -29,7 +29,7 @@
 	notifiedAfter time.Duration // time from a change until it counts as notified
 	grace         time.Duration // time after notifiedAfter in which attempts may still begin
 	expires       time.Duration // instant from which the list must not be used
-	confirmed     bool          // discovery has confirmed the list since New or, if it came later, ServiceChanged
+	confirmed     bool          // discovery has confirmed the list since New, ServiceChanged and WatchRejected
 	waitsFrom     time.Duration // while not confirmed: when the wait for the first confirmation began
 }
 
@@ -80,10 +80,11 @@
 // Rejected records that a call which began at the given instant failed in a way in which both an overloaded discovery and
 // one that is down fail calls. Discovery may have answered others, so the lease of a confirmed list is not renewed.
 //
-// A list that has not been confirmed is the exception. After a start or a reload the whole fleet waits for its first
-// answers, and fleetWait is the time that discovery needs for them. If that is longer than backoff.NotifiedAfter, most
-// coordinators would reject all queries before discovery can answer them. Until fleetWait is over, such calls therefore
-// renew the lease as Unreachable does, and an endpoint that drains meanwhile may get attempts for too long.
+// A list that has not been confirmed is the exception. After a start, a reload or an outage (WatchRejected) the whole
+// fleet waits for its first answers, and fleetWait is the time that discovery needs for them. If that is longer than
+// backoff.NotifiedAfter, most coordinators would reject all queries before discovery can answer them. Until fleetWait is
+// over, such calls therefore renew the lease as Unreachable does, and an endpoint that drains meanwhile may get attempts
+// for too long.
 func (l *Lease) Rejected(began, fleetWait time.Duration) {
 	excess := fleetWait - backoff.NotifiedAfter
 	if l.confirmed || excess <= 0 {
@@ -93,6 +94,11 @@
 	l.renew(min(began, l.waitsFrom+excess))
 }
 
+// WatchRejected records that discovery rejected a watch that began at the given instant. A watch does not wait for its
+// turn, so an overload does not explain that: discovery has probably gone down for the whole fleet. The lease is not
+// renewed, but the list counts as not confirmed from then on (Rejected).
+func (l *Lease) WatchRejected(began time.Duration) { l.confirmed, l.waitsFrom = false, began }
+
 // ServiceChanged records that a reload named another discovery service at the given instant. Until that service has
 // answered, its changes count as notified after backoff.NotifiedAfterReload. ServiceChanged never extends the lease.
 func (l *Lease) ServiceChanged(at time.Duration) {
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -62,6 +62,25 @@
 			l.ServiceChanged(3 * second)
 			l.Rejected(20*second, 10*second)
 		}, 3*second + 4*second + reloaded},
+		"confirmed, then a watch rejected": {func(l *Lease) {
+			l.Confirmed(2 * second)
+			l.WatchRejected(3 * second)
+		}, 2*second + notified},
+		"a watch rejected, then calls, in a fleet that is answered in time": {func(l *Lease) {
+			l.Confirmed(2 * second)
+			l.WatchRejected(3 * second)
+			l.Rejected(5*second, 6*second)
+		}, 2*second + notified},
+		"a watch rejected, then calls, in a fleet that is not": {func(l *Lease) {
+			l.Confirmed(2 * second)
+			l.WatchRejected(3 * second)
+			l.Rejected(20*second, 10*second)
+		}, 3*second + 10*second},
+		"confirmed after a rejected watch": {func(l *Lease) {
+			l.WatchRejected(3 * second)
+			l.Confirmed(4 * second)
+			l.Rejected(20*second, 10*second)
+		}, 4*second + notified},
 		"confirmations out of order": {func(l *Lease) {
 			l.Confirmed(5 * second)
 			l.Confirmed(4 * second)
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
@@ -176,6 +177,8 @@
 		d.lease.Unreachable(f.began)
 	case e == mayBeOverloaded:
 		d.lease.Rejected(f.began, d.Schedule.FleetWait())
+	case f.watch && errors.Is(f.err, errUnavailable):
+		d.lease.WatchRejected(f.began)
 	case !f.watch:
 		d.lease.Unanswered()
 	}
--- a/internal/platform/poll_failure.go
+++ b/internal/platform/poll_failure.go
@@ -44,7 +44,7 @@
 
 // evidence is what a failed call proves about discovery. A change of the list counts as notified some time after
 // discovery had it and could be reached. So a call extends the time for which the list may be used only if it proves
-// that discovery could not be reached. lease.Rejected has the one exception, for mayBeOverloaded.
+// that discovery could not be reached. lease.Rejected has the exceptions, for mayBeOverloaded.
 //
 //	how the call ended                          what it can mean                            evidence
 //	connection refused, timed out, or no route  nothing accepts connections there           provesUnreachable
@@ -54,6 +54,7 @@
 //	ended without an answer after a wait        discovery accepted the call, and it waited  provesNothing
 //	no answer, or a broken or unreadable one    discovery accepted the call                 provesNothing
 //	a watch that ended or was not answered      nothing about other calls                   provesNothing
+//	a watch that was answered 503               down: a watch waits for no turn             provesNothing (WatchRejected)
 //
 // A coordinator cannot distinguish an overloaded discovery from one that is down: watches end when discovery goes down,
 // but also for other reasons, and a coordinator does not know whether discovery answers others.
