--- a/review/standins-2/upgrade.go
+++ b/review/standins-2/upgrade.go
@@ -58,78 +58,109 @@
 	return strings.TrimSpace(answer)
 }
 
-// upgrade plays one upgrade with a seed and returns how many parts reached the draining node too late.
-func (b *bench) upgrade(seed int) (late int, err error) {
+// host is a machine on which one coordinator's processes take over from each other.
+type host struct {
+	*bench
+	number    int
+	nodes     []*node
+	discovery *discovery
+	listen    string
+	socket    *os.File // of the clients' listener, which the platform holds
+	tmp       string   // TMPDIR of all processes
+	settings  map[string]any
+	stop      chan struct{}
+	clients   sync.WaitGroup
+}
+
+// newHost starts three nodes and discovery, and opens the clients' listener.
+func (b *bench) newHost(number, fleet int) (h *host, err error) {
 	r := ring{3, 3, 6}
-	nodes, list, err := b.startNodes(r, func(at *attempt) {
+	h = &host{bench: b, number: number, settings: settings(r, routeLookup, hazardReport, conditions), stop: make(chan struct{})}
+	h.settings["balancers"] = fleet
+	var list []endpoint
+	if h.nodes, list, err = b.startNodes(r, func(at *attempt) {
 		time.Sleep(10 * time.Millisecond)
 		at.answer("S", valueOf(at.id))
-	})
-	if err != nil {
-		return 0, err
+	}); err != nil {
+		return nil, err
 	}
-	d, err := startDiscovery(b.rec, list)
-	if err != nil {
-		return 0, err
+	if h.discovery, err = startDiscovery(b.rec, list); err != nil {
+		return nil, err
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
-	listen := l.Addr().String()
-	socket, err := l.(*net.TCPListener).File()
+	defer l.Close() // the file holds the socket
+	h.listen = l.Addr().String()
+	if h.socket, err = l.(*net.TCPListener).File(); err != nil {
+		return nil, err
+	}
+	h.tmp, err = os.MkdirTemp(b.folder, "tmp-")
+	return h, err
+}
+
+// start starts a process of the coordinator and waits for its yes. It returns its operators' door too.
+func (h *host) start(name string, seed int) (*coordinator, string, error) {
+	door, err := freeAddress()
 	if err != nil {
-		return 0, err
+		return nil, "", err
 	}
-	defer socket.Close()
-	l.Close() // the file holds the socket
-	tmp, err := os.MkdirTemp(b.folder, "tmp-")
+	config := platformConfig(fmt.Sprintf("u%d", h.number), h.listen, h.discovery.address, h.settings)
+	config["operator"], config["seed"] = door, fmt.Sprintf("%016x", seed)
+	c, err := h.bench.start(startOptions{name: fmt.Sprintf("%s-%d", name, h.number), tmp: h.tmp, config: config,
+		env: []string{"PROXY_FD=4"}, listenF: h.socket})
 	if err != nil {
-		return 0, err
+		return nil, "", err
 	}
-	s := settings(r, routeLookup, hazardReport, conditions)
-	s["balancers"] = fleetSize
-	start := func(name string, seed int) (*coordinator, string, error) {
-		door, err := freeAddress()
-		if err != nil {
-			return nil, "", err
-		}
-		config := platformConfig(fmt.Sprintf("u%d", seed%100), listen, d.address, s)
-		config["operator"], config["seed"] = door, fmt.Sprintf("%016x", seed)
-		c, err := b.start(startOptions{name: name, tmp: tmp, config: config, env: []string{"PROXY_FD=4"}, listenF: socket})
-		if err != nil {
-			return nil, "", err
-		}
-		for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-			if strings.HasPrefix(call(door, "status"), "200") {
-				b.rec.add("%s says yes", name)
-				return c, door, nil
-			}
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if strings.HasPrefix(call(door, "status"), "200") {
+			h.rec.add("%s says yes", c.name)
+			return c, door, nil
 		}
-		return nil, "", fmt.Errorf("%s did not say yes", name)
 	}
-	old, _, err := start(fmt.Sprintf("old%d", seed), seed+100)
-	if err != nil {
-		return 0, err
-	}
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	defer func() { close(stop); clients.Wait() }()
-	clients.Add(1)
+	return nil, "", fmt.Errorf("%s did not say yes", c.name)
+}
+
+// startClient sends a request every 40 ms, each on a connection of its own, until endClient.
+func (h *host) startClient() {
+	h.clients.Add(1)
 	go func() {
-		defer clients.Done()
+		defer h.clients.Done()
 		for n := 0; ; n++ {
 			select {
-			case <-stop:
+			case <-h.stop:
 				return
 			case <-time.After(40 * time.Millisecond):
 			}
-			ask(b.rec, listen, request{id: fmt.Sprintf("u%d-%d", seed, n), class: "route-lookup", budget: 2 * time.Second, shards: []int{n % 6}})
+			ask(h.rec, h.listen, request{id: fmt.Sprintf("u%d-%d", h.number, n), class: "route-lookup",
+				budget: 2 * time.Second, shards: []int{n % 6}})
 		}
 	}()
+}
+
+func (h *host) endClient() {
+	close(h.stop)
+	h.clients.Wait()
+	h.socket.Close()
+}
+
+// upgrade plays one upgrade with a seed and returns how many parts reached the draining node too late.
+func (b *bench) upgrade(seed int) (late int, err error) {
+	h, err := b.newHost(seed, fleetSize)
+	if err != nil {
+		return 0, err
+	}
+	old, _, err := h.start("old", seed+100)
+	if err != nil {
+		return 0, err
+	}
+	h.startClient()
+	defer h.endClient()
+	nodes, d := h.nodes, h.discovery
 	time.Sleep(5500 * time.Millisecond) // the old process has its watch by then, and has stored its list
 	if b.trouble {
-		if _, _, err := start(fmt.Sprintf("new%d", seed), seed); err != nil {
+		if _, _, err := h.start("new", seed); err != nil {
 			return 0, err
 		}
 	}
