Review: scripts that are ended by a signal end their processes too

Cause: a script that got SIGTERM left its driver and the coordinators running until their own limit.

Change: the scripts pass the signal on, and the driver ends its processes and removes its folder.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,7 +5,10 @@
 for program in ../../bin/harepass ../standins-2/bin/standins-2; do
   [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-timeout -k 2 115 ../standins-2/bin/standins-2 alias .
+timeout -k 2 115 ../standins-2/bin/standins-2 alias . &
+driver=$!
+trap "kill $driver 2>/dev/null; wait $driver; exit 2" TERM INT
+wait "$driver"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -4,7 +4,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
 )
 
 // bench is what every case has at hand.
@@ -13,6 +16,7 @@
 	root    string // of the repository
 	folder  string // temporary
 	trouble bool   // false for TROUBLE=0
+	mu      sync.Mutex
 	running []*coordinator
 }
 
@@ -21,11 +25,39 @@
 	o.folder = b.folder
 	c, err := startCoordinator(b.rec, b.root, o)
 	if err == nil {
-		b.running = append(b.running, c)
+		b.add(c)
 	}
 	return c, err
 }
 
+// add records a process that the case ends.
+func (b *bench) add(c *coordinator) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running = append(b.running, c)
+}
+
+// killAll ends all processes of the case.
+func (b *bench) killAll() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.running {
+		c.kill()
+	}
+}
+
+// cleanUpOnSignal ends the case when the driver is told to end.
+func (b *bench) cleanUpOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		b.rec.add("the driver got %v", <-signals)
+		b.killAll()
+		os.RemoveAll(b.folder)
+		os.Exit(cannotRun)
+	}()
+}
+
 var cases = map[string]func(*bench) (broken bool, err error){}
 
 func run() int {
@@ -54,10 +86,9 @@
 		fmt.Fprintln(os.Stderr, tmp)
 	}
 	b := &bench{rec: rec, root: filepath.Dir(filepath.Dir(folder)), folder: tmp, trouble: os.Getenv("TROUBLE") != "0"}
+	b.cleanUpOnSignal()
 	broken, err := cases[os.Args[1]](b)
-	for _, c := range b.running {
-		c.kill()
-	}
+	b.killAll()
 	switch {
 	case err != nil:
 		rec.add("the case could not run: %v", err)
--- a/review/standins-2/stale.go
+++ b/review/standins-2/stale.go
@@ -39,7 +39,7 @@
 		b.rec.add("%s ended: %v", name, c.cmd.Wait())
 		close(c.ended)
 	}()
-	b.running = append(b.running, c)
+	b.add(c)
 	return c, nil
 }
 
