--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -25,8 +25,15 @@
 	RingSize int
 
 	endpoints map[string]core.Endpoint // last result of Read, including draining endpoints, by ID; nil before the first
+	changes   Difference               // between the last two readings
 }
 
+// Changes returns how the last reading differs from the one before.
+func (r *Reader) Changes() Difference { return r.changes }
+
+// isReady reports whether an endpoint may serve, as opposed to one that is unknown or only drains.
+func isReady(e core.Endpoint) bool { return e.ID != "" && e.State == scatter.Ready }
+
 // Read reads the file and returns its endpoints, sorted by ID. Endpoints that the previous reading had and this one
 // lacks are returned once more, as draining. A host that a reading after the first adds, or adds again, may just have
 // started, so its StartedAt is now, the time of the caller's clock. The error is that of Load; the Reader then keeps
@@ -38,7 +45,7 @@
 	}
 	next := map[string]core.Endpoint{}
 	for id, e := range r.endpoints {
-		if e.State == scatter.Ready {
+		if isReady(e) {
 			e.State = scatter.Draining
 			next[id] = e
 		}
@@ -46,6 +53,7 @@
 	for _, h := range hosts {
 		next[h.Name] = r.endpoint(h, now)
 	}
+	r.changes = difference(r.endpoints, next)
 	r.endpoints = next
 	return slices.SortedFunc(maps.Values(next), func(x, y core.Endpoint) int { return cmp.Compare(x.ID, y.ID) }), nil
 }
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -59,7 +59,9 @@
 		slog.Error(logmsg.InventoryRejected, logmsg.KeyError, err)
 		return
 	}
-	slog.Info(logmsg.InventoryReloaded, "endpoints", len(endpoints))
+	changes := p.Inventory.Changes()
+	slog.Info(logmsg.InventoryReloaded, "endpoints", len(endpoints),
+		"added", changes.Added, "removed", changes.Removed, "changed", changes.Changed)
 	p.coordinator.UpdateEndpoints(inventory.Source, scatter.FullUpdate, endpoints)
 }
 
