--- a/cmd/harepass/check.go
+++ b/cmd/harepass/check.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -20,7 +21,7 @@
 	if err := parse(fs, args, out); err != nil {
 		return err
 	}
-	c, err := config.Load(os.Getenv, *paths, core.SystemClock())
+	c, err := config.Load(context.Background(), os.Getenv, *paths, core.SystemClock())
 	if err != nil {
 		return err
 	}
--- a/cmd/harepass/relay.go
+++ b/cmd/harepass/relay.go
@@ -22,7 +22,12 @@
 		return usageError{errNoRelayFile}
 	}
 	signals := lifecycle.NotifySignals()
-	file, err := config.LoadRelay(*path)
+	ctx, stop := signals.Context()
+	file, err := config.LoadRelay(ctx, *path)
+	stop()
+	if errors.Is(err, lifecycle.ErrEnded) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/cmd/harepass/serve.go
+++ b/cmd/harepass/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"io"
 	"log/slog"
 	"os"
@@ -24,7 +25,12 @@
 	}
 	signals := lifecycle.NotifySignals()
 	clock := core.SystemClock()
-	c, err := config.Load(os.Getenv, *paths, clock)
+	ctx, stop := signals.Context()
+	c, err := config.Load(ctx, os.Getenv, *paths, clock)
+	stop()
+	if errors.Is(err, lifecycle.ErrEnded) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/config/changes.go
+++ b/internal/config/changes.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"errors"
 	"maps"
-	"os"
 
 	"harepass/internal/core"
 	"harepass/internal/decide/settingsdiff"
+	"harepass/internal/inputfile"
 	"harepass/internal/opensearch"
 	"harepass/internal/wire"
 )
@@ -53,7 +53,7 @@
 	if c.Platform == nil {
 		return nil, ErrNoPlatform
 	}
-	data, err := os.ReadFile(path)
+	data, err := inputfile.Read(path)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"os"
@@ -52,9 +53,13 @@
 }
 
 // Load reads the platform's file, the OpenSearch front's file, or both, and the files of overload control and
-// distribution unless those parts are off. The error is an *InvalidError.
-func Load(env Environment, paths Paths, clock core.Clock) (*Config, error) {
-	c, err := load(env, paths, clock)
+// distribution unless those parts are off. It waits until the files of these parts and the inventory count as whole, or
+// ctx is done. The error is an *InvalidError, or the cause of ctx.
+func Load(ctx context.Context, env Environment, paths Paths, clock core.Clock) (*Config, error) {
+	c, err := loadStable(ctx, func(files *fileSet) (*Config, error) { return load(files, env, paths, clock) })
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
 	if err != nil {
 		return nil, invalid(err)
 	}
@@ -62,7 +67,7 @@
 }
 
 // load implements Load; its error is not yet wrapped in an *InvalidError.
-func load(env Environment, paths Paths, clock core.Clock) (*Config, error) {
+func load(files *fileSet, env Environment, paths Paths, clock core.Clock) (*Config, error) {
 	c := &Config{Limits: defaultLimits, Seed: rand.Uint64()}
 	if env(varConfig) != "" {
 		var err error
@@ -74,7 +79,7 @@
 	_, err := os.Stat(paths.OpenSearch)
 	switch missing := errors.Is(err, os.ErrNotExist) && paths.OpenSearch == DefaultOpenSearchPath; {
 	case err == nil:
-		err = c.loadOpenSearch(clock)
+		err = c.loadOpenSearch(files, clock)
 	case missing && c.Platform != nil:
 		err = nil
 	case missing:
@@ -83,10 +88,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.Overload, err = loadOverload(paths.Overload, c.Limits); err != nil {
+	if c.Overload, err = loadOverload(files, paths.Overload, c.Limits); err != nil {
 		return nil, err
 	}
-	if c.Distribution, err = loadDistribution(paths.Distribution); err != nil {
+	if c.Distribution, err = loadDistribution(files, paths.Distribution); err != nil {
 		return nil, err
 	}
 	if c.Distribution != nil && c.Platform == nil {
@@ -94,12 +99,3 @@
 	}
 	return c, nil
 }
-
-// readOptional reads a file. A file that does not exist at its default path is no error; exists is then false.
-func readOptional(path, defaultPath string) (data []byte, exists bool, err error) {
-	data, err = os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) && path == defaultPath {
-		return nil, false, nil
-	}
-	return data, err == nil, err
-}
--- a/internal/config/distribution.go
+++ b/internal/config/distribution.go
@@ -16,8 +16,8 @@
 }
 
 // loadDistribution reads the distribution file. It returns nil if the file does not exist at its default path.
-func loadDistribution(path string) (*DistributionFile, error) {
-	data, exists, err := readOptional(path, DefaultDistributionPath)
+func loadDistribution(files *fileSet, path string) (*DistributionFile, error) {
+	data, exists, err := files.readOptional(path, DefaultDistributionPath)
 	if !exists {
 		return nil, err
 	}
--- a/internal/config/distribution_test.go
+++ b/internal/config/distribution_test.go
@@ -28,7 +28,7 @@
 		if err := os.WriteFile(path, []byte(tc.text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		f, err := loadDistribution(path)
+		f, err := loadDistribution(&fileSet{}, path)
 		switch {
 		case tc.want == "" && (err != nil || !f.Takes(ResourceEndpoints) || !f.Takes(ResourceSettings)):
 			t.Errorf("%s: loaded %+v, error %v; want both resources", what, f, err)
@@ -37,10 +37,10 @@
 			t.Errorf("%s: error %v, want one line with %q", what, err, tc.want)
 		}
 	}
-	if f, err := loadDistribution("../../deploy/distribution.example.yaml"); err != nil || len(f.Sources) < 3 {
+	if f, err := loadDistribution(&fileSet{}, "../../deploy/distribution.example.yaml"); err != nil || len(f.Sources) < 3 {
 		t.Errorf("example file: %+v, error %v; want at least 3 sources", f, err)
 	}
-	if f, err := loadDistribution(DefaultDistributionPath); f != nil || err != nil || f.Takes(ResourceEndpoints) {
+	if f, err := loadDistribution(&fileSet{}, DefaultDistributionPath); f != nil || err != nil || f.Takes(ResourceEndpoints) {
 		t.Errorf("missing file at the default path: %+v, error %v; want nil and no error", f, err)
 	}
 }
--- a/internal/config/opensearch.go
+++ b/internal/config/opensearch.go
@@ -1,9 +1,9 @@
 package config
 
 import (
-	"os"
-
 	"harepass/internal/core"
+	"harepass/internal/decide/placement"
+	"harepass/internal/inputfile"
 	"harepass/internal/inventory"
 	"harepass/internal/opensearch"
 	"harepass/internal/wire"
@@ -11,8 +11,12 @@
 
 // loadOpenSearch reads the OpenSearch front's file and the files that it names. Without a platform, that file has to
 // name the settings and the inventory of endpoints.
-func (c *Config) loadOpenSearch(clock core.Clock) error {
-	front, err := opensearch.LoadConfig(c.OpenSearchPath)
+func (c *Config) loadOpenSearch(files *fileSet, clock core.Clock) error {
+	data, err := files.read(c.OpenSearchPath)
+	if err != nil {
+		return err
+	}
+	front, err := opensearch.ParseConfig(c.OpenSearchPath, data)
 	if err != nil {
 		return err
 	}
@@ -32,13 +36,31 @@
 		return nil
 	}
 	c.Inventory = &inventory.Reader{Path: front.Inventory, Group: front.Group, RingSize: c.Settings.RingSize}
-	c.InventoryEndpoints, err = c.Inventory.Read(clock())
-	return err
+	if c.Platform == nil {
+		c.Inventory.ShardsWithoutHolder = c.shardsWithoutHolder
+	}
+	reading := c.Inventory.Look()
+	files.add(reading.Look)
+	if reading.Err != nil {
+		return reading.Err
+	}
+	c.InventoryEndpoints = c.Inventory.Apply(reading.Hosts, clock())
+	return nil
+}
+
+// shardsWithoutHolder returns the shards that endpoints leave without a holder if no other source lists any.
+func (c *Config) shardsWithoutHolder(endpoints []core.Endpoint) []int {
+	var positions []int
+	for _, e := range endpoints {
+		positions = append(positions, e.RingPosition)
+	}
+	ring := placement.Ring{Size: c.Settings.RingSize, ReplicationFactor: c.Settings.ReplicationFactor}
+	return ring.ShardsWithoutHolder(positions, c.ProtocolLimits.Shards)
 }
 
 // readSettings reads the settings from a separate file.
 func (c *Config) readSettings(path string) error {
-	data, err := os.ReadFile(path)
+	data, err := inputfile.Read(path)
 	if err != nil {
 		return err
 	}
--- a/internal/config/overload.go
+++ b/internal/config/overload.go
@@ -25,8 +25,8 @@
 
 // loadOverload reads the overload-control file for a process with the limits l. It returns nil if the file does not
 // exist at its default path.
-func loadOverload(path string, l Limits) (*OverloadFile, error) {
-	data, exists, err := readOptional(path, DefaultOverloadPath)
+func loadOverload(files *fileSet, path string, l Limits) (*OverloadFile, error) {
+	data, exists, err := files.readOptional(path, DefaultOverloadPath)
 	if !exists {
 		return nil, err
 	}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -3,9 +3,9 @@
 import (
 	"encoding/json"
 	"net"
-	"os"
 	"strconv"
 
+	"harepass/internal/inputfile"
 	"harepass/internal/platform"
 	"harepass/internal/wire"
 )
@@ -61,7 +61,7 @@
 // loadPlatform implements LoadPlatform; its error is not yet wrapped in an *InvalidError.
 func loadPlatform(env Environment) (*Config, error) {
 	path := env(varConfig)
-	data, err := os.ReadFile(path)
+	data, err := inputfile.Read(path)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -1,10 +1,10 @@
 package config
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"strings"
 	"time"
 )
@@ -49,9 +49,13 @@
 	minLogEvery      = 100 * time.Millisecond
 )
 
-// LoadRelay reads a relay's file. The error is an *InvalidError.
-func LoadRelay(path string) (*RelayFile, error) {
-	f, err := loadRelay(path)
+// LoadRelay reads a relay's file once that counts as whole, or until ctx is done. The error is an *InvalidError, or the
+// cause of ctx.
+func LoadRelay(ctx context.Context, path string) (*RelayFile, error) {
+	f, err := loadStable(ctx, func(files *fileSet) (*RelayFile, error) { return loadRelay(files, path) })
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
 	if err != nil {
 		return nil, invalid(err)
 	}
@@ -59,8 +63,8 @@
 }
 
 // loadRelay implements LoadRelay; its error is not yet wrapped in an *InvalidError.
-func loadRelay(path string) (*RelayFile, error) {
-	data, err := os.ReadFile(path)
+func loadRelay(files *fileSet, path string) (*RelayFile, error) {
+	data, err := files.read(path)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/relay_test.go
+++ b/internal/config/relay_test.go
@@ -10,7 +10,7 @@
 
 // The example file shows operators the default values, so its values have to equal the defaults.
 func TestRelayExampleShowsDefaults(t *testing.T) {
-	example, err := LoadRelay("../../deploy/relay.example.yaml")
+	example, err := LoadRelay(t.Context(), "../../deploy/relay.example.yaml")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -26,7 +26,7 @@
 	if err := os.WriteFile(path, []byte("readers: 0"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	_, err := LoadRelay(path)
+	_, err := LoadRelay(t.Context(), path)
 	var invalid *InvalidError
 	var file *FileError
 	var bound *RangeError
--- a/internal/core/endpoint_updates_test.go
+++ b/internal/core/endpoint_updates_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,3 +55,31 @@
 		t.Errorf("endpoints %v after a full list, disconnected %v", listed, disconnected)
 	}
 }
+
+// An inventory is read while discovery lists replicas too. A shard that another source's Ready replica holds keeps its
+// holder, one that only the inventory's replicas hold does not, and one without a holder before is not lost by it.
+func TestShardsLosingHolders(t *testing.T) {
+	at := func(id string, position int, state scatter.ReplicaState) Endpoint {
+		e := fakeEndpoint(id, state)
+		e.RingPosition = position
+		return e
+	}
+	h := newHarness(t, func(c *Config) {
+		c.Settings.RingSize, c.Settings.ReplicationFactor, c.Limits.Shards = 4, 1, 4
+	})
+	h.UpdateEndpoints("inventory", scatter.FullUpdate, []Endpoint{at("i0", 0, scatter.Ready), at("i1", 1, scatter.Ready)})
+	h.UpdateEndpoints("discovery", scatter.CachedUpdate, []Endpoint{at("d0", 0, scatter.Ready), at("d1", 1, scatter.Draining)})
+	h.tick()
+	for _, tc := range []struct {
+		next []Endpoint
+		want []int
+	}{
+		{nil, []int{1}},
+		{[]Endpoint{at("i9", 1, scatter.Ready)}, nil},
+		{[]Endpoint{at("i9", 3, scatter.Ready)}, []int{1}},
+	} {
+		if got := h.ShardsLosingHolders("inventory", tc.next); !slices.Equal(got, tc.want) {
+			t.Errorf("with %v in the inventory: shards %v lose their holders, want %v", tc.next, got, tc.want)
+		}
+	}
+}
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"harepass/internal/decide/placement"
 	"harepass/internal/decide/scatter"
 )
 
@@ -87,3 +88,40 @@
 
 // HasEndpoint reports whether any source lists an endpoint. Any goroutine may call it.
 func (c *Coordinator) HasEndpoint(id string) bool { return c.endpoints.contains(id) }
+
+// ShardsLosingHolders returns the shards, in order, that have a Ready holder in some source's list now, and would have
+// none if source listed only the given endpoints. It returns nil if the number of shards is unknown. Any goroutine may
+// call it.
+func (c *Coordinator) ShardsLosingHolders(source string, listed []Endpoint) (losing []int) {
+	s := c.inForce()
+	ring := placement.Ring{Size: s.RingSize, ReplicationFactor: s.ReplicationFactor}
+	fromSource, fromOthers := c.endpoints.readyPositions(source)
+	missingNow := ring.ShardsWithoutHolder(slices.Concat(fromSource, fromOthers), s.limits.Shards)
+	next := fromOthers
+	for _, e := range listed {
+		next = append(next, e.RingPosition)
+	}
+	for _, shard := range ring.ShardsWithoutHolder(next, s.limits.Shards) {
+		if _, missing := slices.BinarySearch(missingNow, shard); !missing {
+			losing = append(losing, shard)
+		}
+	}
+	return losing
+}
+
+// readyPositions returns the ring positions of the endpoints that are listed as Ready, by a source and by all others.
+// Any goroutine may call it.
+func (t *endpointTable) readyPositions(source string) (fromSource, fromOthers []int) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, e := range t.byID {
+		switch {
+		case e.State != scatter.Ready:
+		case e.source == source:
+			fromSource = append(fromSource, e.RingPosition)
+		default:
+			fromOthers = append(fromOthers, e.RingPosition)
+		}
+	}
+	return fromSource, fromOthers
+}
--- a/internal/inventory/difference_test.go
+++ b/internal/inventory/difference_test.go
@@ -23,7 +23,7 @@
 		if err := os.WriteFile(r.Path, []byte("name,port,cell\n"+tc.rows), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := r.Read(0); err != nil || r.Changes() != tc.want {
+		if _, err := lookAndApply(r, 0); err != nil || r.Changes() != tc.want {
 			t.Errorf("rows %q: changes %+v, error %v; want %+v", tc.rows, r.Changes(), err, tc.want)
 		}
 	}
--- a/internal/inventory/host.go
+++ b/internal/inventory/host.go
@@ -4,11 +4,12 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
+
+	"harepass/internal/inputfile"
 )
 
 // Host is one endpoint of an inventory.
@@ -41,14 +42,20 @@
 // Error returns file, line and fault in the format of compiler messages.
 func (e *Error) Error() string { return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Text) }
 
-// Load reads the hosts of a file, in the file's order. The extension selects the format: CSV for .csv, and YAML for
-// .yml and .yaml. From YAML, Load returns the hosts of one group, or all hosts if group is empty. Ring positions range
-// from 0 to ringSize-1. The error is an *Error, the error of reading the file, or wraps ErrUnknownFormat.
+// Load reads the hosts of a file once, in the file's order, without waiting for a file that is being written. The
+// extension selects the format: CSV for .csv, and YAML for .yml and .yaml. From YAML, Load returns the hosts of one
+// group, or all hosts if group is empty. Ring positions range from 0 to ringSize-1. The error is an *Error, the error of
+// reading the file, or wraps ErrUnknownFormat.
 func Load(path, group string, ringSize int) ([]Host, error) {
-	data, err := os.ReadFile(path)
+	data, err := inputfile.Read(path)
 	if err != nil {
 		return nil, err
 	}
+	return parse(path, data, group, ringSize)
+}
+
+// parse returns the hosts in the contents of a file. Its parameters and errors are those of Load.
+func parse(path string, data []byte, group string, ringSize int) (hosts []Host, err error) {
 	f := &file{path: path, ringSize: ringSize}
 	switch strings.ToLower(filepath.Ext(path)) {
 	case ".csv":
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -2,20 +2,23 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"harepass/internal/core"
 	"harepass/internal/decide/scatter"
+	"harepass/internal/decide/stability"
+	"harepass/internal/inputfile"
 )
 
 // Source is the name of the inventory where endpoint lists are distinguished by their origin.
 const Source = "inventory"
 
-// Reader reads an inventory file repeatedly. Each endpoint list that it returns also depends on the previous reading: a
+// Reader reads an inventory file repeatedly. Each endpoint list that it returns also depends on the previous one: a
 // host that was removed from the file is listed once more, as draining. The exported fields have to be set before the
-// first Read. A Reader must not be used concurrently.
+// first Look. A Reader must not be used concurrently.
 type Reader struct {
 	// Path is the path of the file; Load documents the valid extensions.
 	Path string
@@ -23,26 +26,98 @@
 	Group string
 	// RingSize is the number of ring positions.
 	RingSize int
+	// ShardsWithoutHolder returns the shards that the endpoints of a reading would leave without a holder if they were
+	// put in force. It is nil if no shard needs a holder.
+	ShardsWithoutHolder func([]core.Endpoint) []int
 
-	endpoints map[string]core.Endpoint // last result of Read, including draining endpoints, by ID; nil before the first
-	changes   Difference               // between the last two readings
+	endpoints map[string]core.Endpoint // last result of Apply, including draining endpoints, by ID; nil before the first
+	changes   Difference               // between the last two applied readings
+	last      Reading                  // of the last Look
 }
 
-// Changes returns how the last reading differs from the one before.
+// Reading is what one look at the file showed. The hosts must be applied only once the file counts as whole.
+type Reading struct {
+	Look  stability.Look
+	Hosts []Host
+	Err   error // an *Error, the error of reading the file, a *ShardWithoutHolderError, or one that wraps ErrUnknownFormat
+}
+
+// Look reads and checks the file. The Reader's state for Apply does not change.
+func (r *Reader) Look() Reading {
+	file, err := inputfile.Inspect(r.Path)
+	if next := (Reading{Look: file.Look, Err: err}); next.Look.Version != r.last.Look.Version {
+		if err == nil {
+			next.Hosts, next.Err = parse(r.Path, file.Data, r.Group, r.RingSize)
+		}
+		cutWithinLine := err == nil && !inputfile.EndsLine(file.Data)
+		next.Look.Suspect = cutWithinLine || next.Err == nil && r.lacksHost(next.Hosts)
+		r.last = next
+	}
+	r.last.Look.Writing = file.Look.Writing
+	reading := r.last
+	if reading.Err == nil {
+		reading.Err = r.checkCoverage(reading.Hosts)
+	}
+	return reading
+}
+
+// lacksHost reports whether hosts lack one of those in force, as a file that is cut after a line does.
+func (r *Reader) lacksHost(hosts []Host) bool {
+	listed := map[string]bool{}
+	for _, h := range hosts {
+		listed[h.Name] = true
+	}
+	for id, e := range r.endpoints {
+		if isReady(e) && !listed[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// ShardWithoutHolderError reports an inventory that leaves shards without a holder.
+type ShardWithoutHolderError struct {
+	File   string
+	Shards []int // at least one, in order
+}
+
+// maxNamedShards is how many shards a ShardWithoutHolderError names.
+const maxNamedShards = 10
+
+// Error names the file and the first of the shards.
+func (e *ShardWithoutHolderError) Error() string {
+	named, rest := e.Shards, ""
+	if omitted := len(named) - maxNamedShards; omitted > 0 {
+		named, rest = named[:maxNamedShards], fmt.Sprintf(" and %d more", omitted)
+	}
+	return fmt.Sprintf("%s: no host holds the sections %v%s", e.File, named, rest)
+}
+
+// checkCoverage returns a *ShardWithoutHolderError if the hosts leave a shard without a holder.
+func (r *Reader) checkCoverage(hosts []Host) error {
+	if r.ShardsWithoutHolder == nil {
+		return nil
+	}
+	var endpoints []core.Endpoint
+	for _, h := range hosts {
+		endpoints = append(endpoints, h.endpoint())
+	}
+	if missing := r.ShardsWithoutHolder(endpoints); len(missing) > 0 {
+		return &ShardWithoutHolderError{r.Path, missing}
+	}
+	return nil
+}
+
+// Changes returns how the hosts that were applied last differ from the ones before.
 func (r *Reader) Changes() Difference { return r.changes }
 
 // isReady reports whether an endpoint may serve, as opposed to one that is unknown or only drains.
 func isReady(e core.Endpoint) bool { return e.ID != "" && e.State == scatter.Ready }
 
-// Read reads the file and returns its endpoints, sorted by ID. Endpoints that the previous reading had and this one
-// lacks are returned once more, as draining. A host that a reading after the first adds, or adds again, may just have
-// started, so its StartedAt is now, the time of the caller's clock. The error is that of Load; the Reader then keeps
-// its state.
-func (r *Reader) Read(now time.Duration) ([]core.Endpoint, error) {
-	hosts, err := Load(r.Path, r.Group, r.RingSize)
-	if err != nil {
-		return nil, err
-	}
+// Apply makes the hosts of a reading the current ones and returns their endpoints, sorted by ID. Endpoints that the
+// hosts applied before had and these lack are returned once more, as draining. A host that is added, or added again, to
+// the first ones may just have started, so its StartedAt is now, the time of the caller's clock.
+func (r *Reader) Apply(hosts []Host, now time.Duration) []core.Endpoint {
 	next := map[string]core.Endpoint{}
 	for id, e := range r.endpoints {
 		if isReady(e) {
@@ -51,19 +126,24 @@
 		}
 	}
 	for _, h := range hosts {
-		next[h.Name] = r.endpoint(h, now)
+		next[h.Name] = r.startedAt(h.endpoint(), now)
 	}
 	r.changes = difference(r.endpoints, next)
 	r.endpoints = next
-	return slices.SortedFunc(maps.Values(next), func(x, y core.Endpoint) int { return cmp.Compare(x.ID, y.ID) }), nil
+	r.last = Reading{} // lacksHost compares with the new hosts
+	return slices.SortedFunc(maps.Values(next), func(x, y core.Endpoint) int { return cmp.Compare(x.ID, y.ID) })
 }
 
-// endpoint converts a host to an endpoint. If the previous reading had the host as Ready with the same address and API,
-// the endpoint counts as the same process and keeps its StartedAt.
-func (r *Reader) endpoint(h Host, now time.Duration) core.Endpoint {
-	e := core.Endpoint{Address: h.Address, Scheme: h.API,
+// endpoint returns the host as an endpoint.
+func (h Host) endpoint() core.Endpoint {
+	return core.Endpoint{Address: h.Address, Scheme: h.API,
 		Replica: scatter.Replica{ID: h.Name, RingPosition: h.RingPosition, Zone: h.Zone}}
-	old, known := r.endpoints[h.Name]
+}
+
+// startedAt sets the StartedAt of a host's endpoint. If the hosts in force have it as Ready with the same address and
+// API, it counts as the same process and keeps its StartedAt.
+func (r *Reader) startedAt(e core.Endpoint, now time.Duration) core.Endpoint {
+	old, known := r.endpoints[e.ID]
 	switch same := known && old.State == scatter.Ready && old.Address == e.Address && old.Scheme == e.Scheme; {
 	case same:
 		e.StartedAt = old.StartedAt
--- a/internal/inventory/reader_test.go
+++ b/internal/inventory/reader_test.go
@@ -6,9 +6,19 @@
 	"testing"
 	"time"
 
+	"harepass/internal/core"
 	"harepass/internal/decide/scatter"
 )
 
+// lookAndApply looks at the file once and applies what it shows, unless that has a fault.
+func lookAndApply(r *Reader, now time.Duration) ([]core.Endpoint, error) {
+	reading := r.Look()
+	if reading.Err != nil {
+		return nil, reading.Err
+	}
+	return r.Apply(reading.Hosts, now), nil
+}
+
 // An operator edits the inventory while the program runs. A host that is removed from the file drains, a host that is
 // added later counts as just started, and a faulty file changes nothing.
 func TestReadingsOfAnEditedFile(t *testing.T) {
@@ -17,7 +27,7 @@
 		if err := os.WriteFile(r.Path, []byte("name,port,cell\n"+rows), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		endpoints, err := r.Read(time.Hour)
+		endpoints, err := lookAndApply(r, time.Hour)
 		text := ""
 		for _, e := range endpoints {
 			text += e.ID + map[scatter.ReplicaState]string{scatter.Ready: "+", scatter.Draining: "-"}[e.State]
--- a/internal/lifecycle/doc.go
+++ b/internal/lifecycle/doc.go
@@ -18,6 +18,7 @@
 //	start.go             creation of a coordinator's components, and the order in which they start
 //	replicas.go          the callers of replicas
 //	endpoints.go         sources of the endpoint list: discovery, relays, an inventory
+//	inventory.go         reading of the inventory while the process runs
 //	relayed_settings.go  settings that relays distribute
 //	listeners.go         the fronts, and the division of descriptors between clients and replicas
 //	stored_state.go      the folder for state files, and how state passes from one process to the next
--- a/internal/lifecycle/endpoints.go
+++ b/internal/lifecycle/endpoints.go
@@ -60,6 +60,9 @@
 		}
 		p.followEndpoints(ctx)
 	}
+	if p.Inventory != nil {
+		p.followInventory(ctx)
+	}
 	if p.Distribution.Takes(config.ResourceSettings) {
 		p.followSettings(ctx)
 	}
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -30,6 +30,8 @@
 	apiFront    *opensearch.Front // nil if there is no OpenSearch front
 	onStop      []func()          // functions to call, in this order, once the coordinator has stopped
 
+	inventoryReloads *inventoryReloader // nil if no file lists endpoints
+
 	discovery       *platform.Discovery   // nil without a platform, or if relays distribute the endpoint list
 	relayedList     *platform.RelayedList // nil if no relay distributes the endpoint list
 	relayedSettings relayedSettings       // state of the settings that relays distribute
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -4,8 +4,6 @@
 	"log/slog"
 
 	"harepass/internal/config"
-	"harepass/internal/decide/scatter"
-	"harepass/internal/inventory"
 	"harepass/internal/logmsg"
 	"harepass/internal/platform"
 )
@@ -39,32 +37,19 @@
 // maxLoggedChanges is how many changed settings a reload logs one by one. For the remaining ones it logs their number.
 const maxLoggedChanges = 40
 
-// reload reads the platform's configuration and the inventory again. If one of the two is invalid, its previous
-// contents stay in force.
+// reload reads the platform's configuration again, and requests that the inventory be read again. If one of the two is
+// invalid, its previous contents stay in force.
 func (p *process) reload() {
 	if p.Platform != nil {
 		if err := p.reloadPlatform(); err != nil {
 			slog.Error(logmsg.ConfigurationRejected, logmsg.KeyError, err)
 		}
 	}
-	if p.Inventory != nil {
-		p.reloadInventory()
+	if p.inventoryReloads != nil {
+		p.inventoryReloads.request()
 	}
 }
 
-// reloadInventory reads the inventory again. Endpoints that are no longer in it start to drain.
-func (p *process) reloadInventory() {
-	endpoints, err := p.Inventory.Read(p.clock())
-	if err != nil {
-		slog.Error(logmsg.InventoryRejected, logmsg.KeyError, err)
-		return
-	}
-	changes := p.Inventory.Changes()
-	slog.Info(logmsg.InventoryReloaded, "endpoints", len(endpoints),
-		"added", changes.Added, "removed", changes.Removed, "changed", changes.Changed)
-	p.coordinator.UpdateEndpoints(inventory.Source, scatter.FullUpdate, endpoints)
-}
-
 // reloadPlatform reads the platform's file and applies the discovery address and the settings in it. Once settings from
 // a relay are in force, the file's settings are ignored. On error nothing is applied.
 func (p *process) reloadPlatform() error {
--- a/internal/lifecycle/signals.go
+++ b/internal/lifecycle/signals.go
@@ -1,11 +1,17 @@
 package lifecycle
 
 import (
+	"context"
+	"errors"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 )
 
+// ErrEnded is the cause of a context of Signals after a signal to end.
+var ErrEnded = errors.New("lifecycle: ended by a signal")
+
 // Signals holds the signals that a program handles. Signals to end and to reload have separate channels: a full channel
 // drops further signals, and reload signals must never cause a signal to end to be dropped.
 type Signals struct {
@@ -26,6 +32,25 @@
 	return &Signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
 }
 
+// Context returns a context that is done once a signal to end has arrived, for work before untilEnd. untilEnd still
+// sees the signal. The caller calls stop when the work is done, and before untilEnd.
+func (s *Signals) Context() (ctx context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	var watching sync.WaitGroup
+	watching.Go(func() {
+		select {
+		case end := <-s.ends:
+			cancel(ErrEnded)
+			select {
+			case s.ends <- end:
+			default: // another one has arrived since
+			}
+		case <-ctx.Done():
+		}
+	})
+	return ctx, func() { cancel(nil); watching.Wait() }
+}
+
 // untilEnd handles reload signals and settings updates, one at a time, until a signal to end arrives. If several are
 // pending, the signal to end has precedence. updates may be nil, for a program without settings updates.
 func untilEnd(s *Signals, updates <-chan settingsUpdate, reload func(), apply func(settingsUpdate)) {
--- a/internal/logmsg/logmsg.go
+++ b/internal/logmsg/logmsg.go
@@ -48,16 +48,18 @@
 
 // Messages about the lifecycle of a coordinator, from the first listener to the stop.
 const (
-	ListenerOpened        = "listener opened"
-	PhaseChanged          = "phase changed"
-	ConfigurationReloaded = "configuration reloaded"
-	ConfigurationRejected = "configuration rejected"
-	FileSettingsIgnored   = "file settings ignored"
-	SettingsChanged       = "settings changed"
-	InventoryReloaded     = "inventory reloaded"
-	InventoryRejected     = "inventory rejected"
-	CoordinatorStopped    = "coordinator stopped"
-	MemoryUsed            = "memory used" // regularly, and whenever the memory has risen by a part of its limit
+	ListenerOpened         = "listener opened"
+	PhaseChanged           = "phase changed"
+	ConfigurationReloaded  = "configuration reloaded"
+	ConfigurationRejected  = "configuration rejected"
+	FileSettingsIgnored    = "file settings ignored"
+	SettingsChanged        = "settings changed"
+	ConfigurationPostponed = "configuration reading postponed" // a file that is read at the start may not be whole
+	InventoryReloaded      = "inventory reloaded"
+	InventoryPostponed     = "inventory reading postponed" // the file may not be whole; it is looked at again
+	InventoryRejected      = "inventory rejected"
+	CoordinatorStopped     = "coordinator stopped"
+	MemoryUsed             = "memory used" // regularly, and whenever the memory has risen by a part of its limit
 )
 
 // Messages about endpoint lists and settings that a coordinator receives from relays or from another process.
--- a/internal/opensearch/config.go
+++ b/internal/opensearch/config.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -13,7 +12,7 @@
 	"go.yaml.in/yaml/v3"
 )
 
-// Config is the configuration file of the API's front and of the replicas that offer the API. LoadConfig reads it;
+// Config is the configuration file of the API's front and of the replicas that offer the API. ParseConfig reads it;
 // Check must accept it before use.
 type Config struct {
 	// Listen is the address that the front listens on, host:port.
@@ -62,10 +61,10 @@
 	VersionField string `yaml:"version"`
 }
 
-// ErrEmptyFile is the cause in LoadConfig's FileError for a file without any key.
+// ErrEmptyFile is the cause in ParseConfig's FileError for a file without any key.
 var ErrEmptyFile = errors.New("empty file")
 
-// FileError is the error of LoadConfig for a file that could be read but is not a configuration file.
+// FileError is the error of ParseConfig for a file that is not a configuration file.
 type FileError struct {
 	Path string // of the file
 	Err  error  // ErrEmptyFile, or the YAML decoder's error: malformed YAML, a wrong type or an unknown key
@@ -77,13 +76,8 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Err }
 
-// LoadConfig reads the configuration file at a path. Its error is one line: the system's if the file cannot be read,
-// else a FileError.
-func LoadConfig(path string) (*Config, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
+// ParseConfig reads the contents of the configuration file at a path. Its error is a FileError of one line.
+func ParseConfig(path string, data []byte) (*Config, error) {
 	c := &Config{SectionField: "section"}
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	dec.KnownFields(true)
--- a/internal/opensearch/config_test.go
+++ b/internal/opensearch/config_test.go
@@ -14,7 +14,7 @@
 	"go.yaml.in/yaml/v3"
 )
 
-// badConfigs are files that LoadConfig or Check must reject, with a text that the error must contain.
+// badConfigs are files that ParseConfig or Check must reject, with a text that the error must contain.
 var badConfigs = map[string]string{
 	"":                                    "empty file",
 	"listen: x\nlisten: y":                "line 2",
@@ -38,7 +38,11 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c, err := opensearch.LoadConfig(path)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := opensearch.ParseConfig(path, data)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/authority_test.go
+++ b/internal/relay/authority_test.go
@@ -186,3 +186,33 @@
 		t.Errorf("list is at index %d, want 1: only the drain is published", index)
 	}
 }
+
+// An authority's files are rewritten while a reload reads them. JSON that is cut anywhere does not parse, so nothing of a
+// torn file is published: this is what protects these files, which are read without waiting until they are whole.
+func TestTornFilesAreNotPublished(t *testing.T) {
+	a, _, _, write := newFileAuthority(t)
+	a.CheckSettings = func(_, next json.RawMessage) ([]string, error) { // as config.CheckFleetSettings does first
+		var settings map[string]json.RawMessage
+		return nil, json.Unmarshal(next, &settings)
+	}
+	write(twoEndpoints, firstSettings)
+	if err := a.Load(); err != nil {
+		t.Fatal(err)
+	}
+	endpoints, settings := a.Endpoints.Head(), a.Settings.Head()
+	for cut := range len(oneDraining) {
+		write(oneDraining[:cut], secondSettings)
+		if err := a.Load(); err == nil {
+			t.Errorf("the endpoint list cut to %q was read without an error", oneDraining[:cut])
+		}
+	}
+	for cut := range len(secondSettings) {
+		write(oneDraining, secondSettings[:cut])
+		if err := a.Load(); err == nil {
+			t.Errorf("the settings cut to %q were read without an error", secondSettings[:cut])
+		}
+	}
+	if a.Endpoints.Head() != endpoints || a.Settings.Head() != settings {
+		t.Error("a torn file changed what is published")
+	}
+}
--- a/internal/relay/endpoint_list.go
+++ b/internal/relay/endpoint_list.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 
 	"harepass/internal/decide/versionlog"
+	"harepass/internal/inputfile"
 	"harepass/internal/platform"
 )
 
@@ -37,7 +37,7 @@
 	if a.EndpointsFile == "" {
 		return nil, nil
 	}
-	data, err := os.ReadFile(a.EndpointsFile)
+	data, err := inputfile.Read(a.EndpointsFile)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -3,9 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 
 	"harepass/internal/decide/versionlog"
+	"harepass/internal/inputfile"
 )
 
 // settingsName is the name of the only entry of the settings resource. The entry contains all settings.
@@ -21,7 +21,7 @@
 	if a.SettingsFile == "" {
 		return nil, nil, nil
 	}
-	data, err := os.ReadFile(a.SettingsFile)
+	data, err := inputfile.Read(a.SettingsFile)
 	if err != nil {
 		return nil, nil, err
 	}
