--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"go.yaml.in/yaml/v3"
+
+	"harepass/internal/inputfile"
 )
 
 // stableTypeNames replaces Go type names in the decoders' messages by fixed names. Operators and scripts read these
@@ -38,6 +40,9 @@
 // decodeYAML decodes a file's contents into a struct that holds the defaults. Unknown keys are errors, and an empty
 // file keeps the defaults. The error is a *FileError with a text of one line.
 func decodeYAML(path string, data []byte, into any) error {
+	if _, err := inputfile.CheckYAML(data); err != nil {
+		return &FileError{path, err}
+	}
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	dec.KnownFields(true)
 	err := dec.Decode(into)
--- a/internal/inputfile/read.go
+++ b/internal/inputfile/read.go
@@ -4,6 +4,7 @@
 // when a file counts as whole.
 //
 //	read.go     one reading of a file
+//	yaml.go     bound on what a YAML file makes of its size
 //	writers.go  whether another process has a file open for writing
 //	wait.go     looks at a file until it is whole
 package inputfile
--- a/internal/inventory/ansible.go
+++ b/internal/inventory/ansible.go
@@ -7,6 +7,15 @@
 	"strings"
 
 	"go.yaml.in/yaml/v3"
+
+	"harepass/internal/inputfile"
+)
+
+// Bounds of the walk through a file. A file decides how often a group is read: aliases that each name the one before
+// twice double the work with each line.
+const (
+	maxGroupDepth = 100     // groups within each other
+	maxPairs      = 500_000 // pairs of mappings that are read, each as often as groups or aliases lead to it
 )
 
 const (
@@ -47,10 +56,16 @@
 	groupFound bool
 	hosts      map[string]*ansibleHost
 	order      []string // host names in the order of their first mention; readAnsible adds hosts in this order
+
+	path  map[*yaml.Node]bool // bodies of the groups that are being read, from the outermost to the current one
+	pairs int                 // pairs of mappings that were read so far
 }
 
 // readAnsible reads the hosts of one group of an Ansible inventory, or all hosts if group is empty.
 func (f *file) readAnsible(data []byte, group string) error {
+	if line, err := inputfile.CheckYAML(data); err != nil {
+		return f.errorAt(line, "%v", err)
+	}
 	var doc yaml.Node
 	if err := yaml.Unmarshal(data, &doc); err != nil {
 		return f.yamlError(err)
@@ -61,7 +76,7 @@
 	if group == "" {
 		group = allHosts
 	}
-	a := &ansibleFile{file: f, group: group, hosts: map[string]*ansibleHost{}}
+	a := &ansibleFile{file: f, group: group, hosts: map[string]*ansibleHost{}, path: map[*yaml.Node]bool{}}
 	if err := a.readGroups(doc.Content[0], nil, false); err != nil {
 		return err
 	}
@@ -90,12 +105,18 @@
 	return f.errorAt(1, "%s", text)
 }
 
+// resolve returns the node that an alias names, or any other node itself.
+func resolve(n *yaml.Node) *yaml.Node {
+	if n.Kind == yaml.AliasNode {
+		return n.Alias
+	}
+	return n
+}
+
 // eachPair calls do for each pair of a mapping until do returns an error. An empty value counts as an empty mapping.
 // what names the mapping in an error.
 func (a *ansibleFile) eachPair(n *yaml.Node, what string, do func(key, value *yaml.Node) error) error {
-	if n.Kind == yaml.AliasNode {
-		n = n.Alias
-	}
+	n = resolve(n)
 	if n.Kind == yaml.ScalarNode && n.Tag == "!!null" {
 		return nil
 	}
@@ -103,6 +124,9 @@
 		return a.errorAt(n.Line, "%s is no mapping", what)
 	}
 	for i := 0; i+1 < len(n.Content); i += 2 {
+		if a.pairs++; a.pairs > maxPairs {
+			return a.errorAt(n.Content[i].Line, "groups and aliases lead to over %d entries", maxPairs)
+		}
 		if err := do(n.Content[i], n.Content[i+1]); err != nil {
 			return err
 		}
@@ -114,10 +138,27 @@
 // and a host's own values override both. selected reports that the parent belongs to the selected group.
 func (a *ansibleFile) readGroups(n *yaml.Node, outer map[string]string, selected bool) error {
 	return a.eachPair(n, "the list of groups", func(name, body *yaml.Node) error {
+		if err := a.enterGroup(name.Value, body); err != nil {
+			return err
+		}
+		defer delete(a.path, resolve(body))
 		return a.readGroup(name.Value, body, outer, selected)
 	})
 }
 
+// enterGroup adds a group to the path. A group that is on the path already contains itself, by way of an alias, and
+// reading it would not end.
+func (a *ansibleFile) enterGroup(name string, body *yaml.Node) error {
+	if a.path[resolve(body)] {
+		return a.errorAt(body.Line, "group %s: the group contains itself", name)
+	}
+	if len(a.path) == maxGroupDepth {
+		return a.errorAt(body.Line, "group %s: over %d groups within each other", name, maxGroupDepth)
+	}
+	a.path[resolve(body)] = true
+	return nil
+}
+
 // readGroup reads one group. It reads the variables first because the group's hosts and children inherit them.
 func (a *ansibleFile) readGroup(name string, body *yaml.Node, outer map[string]string, selected bool) error {
 	if name == a.group {
--- a/internal/inventory/host.go
+++ b/internal/inventory/host.go
@@ -19,13 +19,15 @@
 	RingPosition int    // from 0 to the ring size minus 1
 	Zone         string // empty if the inventory gives none
 	API          string // scheme that the endpoint uses: one of APIs
-	line         int    // line of the file that first names the host
 }
 
 // APIs lists the schemes that an endpoint may use, as in core.Endpoint.Scheme. The first is the default for hosts that
 // give none. The slice must not be modified.
 var APIs = []string{"frame", "opensearch"}
 
+// maxHosts is the number of hosts that a file may have.
+const maxHosts = 20_000
+
 // maxPort is the highest TCP port.
 const maxPort = 65535
 
@@ -56,7 +58,7 @@
 
 // parse returns the hosts in the contents of a file. Its parameters and errors are those of Load.
 func parse(path string, data []byte, group string, ringSize int) (hosts []Host, err error) {
-	f := &file{path: path, ringSize: ringSize}
+	f := &file{path: path, ringSize: ringSize, lines: map[string]int{}}
 	switch strings.ToLower(filepath.Ext(path)) {
 	case ".csv":
 		err = f.readCSV(data)
@@ -78,7 +80,8 @@
 type file struct {
 	path     string
 	ringSize int
-	hosts    []Host // hosts that have been read and checked
+	hosts    []Host         // hosts that have been read and checked
+	lines    map[string]int // lines that first name these hosts, by name
 }
 
 // errorAt returns an *Error for a line of the file.
@@ -101,10 +104,13 @@
 	if name == "" || strings.ContainsAny(name, " \t") {
 		return f.errorAt(line, "host name %q is empty or holds a space", name)
 	}
-	if i := slices.IndexFunc(f.hosts, func(other Host) bool { return other.Name == name }); i >= 0 {
-		return f.errorAt(line, "host %s stands already on line %d", name, f.hosts[i].line)
+	if other, listed := f.lines[name]; listed {
+		return f.errorAt(line, "host %s stands already on line %d", name, other)
+	}
+	if len(f.hosts) == maxHosts {
+		return f.errorAt(line, "over %d hosts", maxHosts)
 	}
-	h := Host{Name: name, Zone: values[columnZone], API: values[columnAPI], line: line}
+	h := Host{Name: name, Zone: values[columnZone], API: values[columnAPI]}
 	port, err := strconv.Atoi(values[columnPort])
 	if err != nil || port < 1 || port > maxPort {
 		return f.errorAt(line, "host %s: port %q is not a number from 1 to %d", name, values[columnPort], maxPort)
@@ -125,5 +131,6 @@
 		return f.errorAt(line, "host %s: api %q is none of %s", name, h.API, strings.Join(APIs, ", "))
 	}
 	f.hosts = append(f.hosts, h)
+	f.lines[name] = line
 	return nil
 }
--- a/internal/inventory/host_test.go
+++ b/internal/inventory/host_test.go
@@ -15,11 +15,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	hosts, err := Load(path, group, 12)
-	for i := range hosts {
-		hosts[i].line = 0
-	}
-	return hosts, err
+	return Load(path, group, 12)
 }
 
 const csvText = "\ufeffname, address, port, cell, api\n# the north slope\n" +
--- a/internal/opensearch/config.go
+++ b/internal/opensearch/config.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"go.yaml.in/yaml/v3"
+
+	"harepass/internal/inputfile"
 )
 
 // Config is the configuration file of the API's front and of the replicas that offer the API. ParseConfig reads it;
@@ -79,6 +81,9 @@
 // ParseConfig reads the contents of the configuration file at a path. Its error is a FileError of one line.
 func ParseConfig(path string, data []byte) (*Config, error) {
 	c := &Config{SectionField: "section"}
+	if _, err := inputfile.CheckYAML(data); err != nil {
+		return nil, &FileError{path, err}
+	}
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	dec.KnownFields(true)
 	switch err := dec.Decode(c); {
