State files: only regular files are read

Change: they are read by inputfile.Read, which opens without waiting and refuses what is no regular file. Measured: TestOnlyRegularStateFilesAreRead failed before after 10 s and passes in milliseconds.

--- a/internal/operator/state_dir.go
+++ b/internal/operator/state_dir.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"harepass/internal/inputfile"
 	"harepass/internal/logmsg"
 )
 
@@ -49,7 +50,7 @@
 	}
 	own := fmt.Sprintf("%016x-%d%s", started.UnixNano(), os.Getpid(), stateFileSuffix)
 	return &StateDir{dir: dir, own: own, lastRead: map[string]fs.FileInfo{}, unread: map[string]fs.FileInfo{},
-		out: map[string][]string{}, readFile: os.ReadFile}, nil
+		out: map[string][]string{}, readFile: inputfile.Read}, nil
 }
 
 // ownPartial returns the name of this process's state file while it is written.
--- a/internal/operator/state_file_test.go
+++ b/internal/operator/state_file_test.go
@@ -8,6 +8,7 @@
 	"hash/crc32"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"reflect"
 	"syscall"
 	"testing"
@@ -101,3 +102,36 @@
 		}
 	}
 }
+
+// Something that is no regular file stands among the state files: a FIFO would block its reader for good, and with it
+// every maintenance call and the start of the process. It is left out, and the other files are read.
+func TestOnlyRegularStateFilesAreRead(t *testing.T) {
+	dir := t.TempDir()
+	d, err := OpenStateDir(dir, time.Unix(2, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := OpenStateDir(dir, time.Unix(1, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.Write(StateFile{Name: "n1"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(filepath.Join(dir, "fifo"+stateFileSuffix), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(filepath.Join(dir, "folder"+stateFileSuffix), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	read := make(chan []StateFile, 1)
+	go func() { read <- d.ReadChanged() }()
+	select {
+	case list := <-read:
+		if len(list) != 1 || list[0].Name != "n1" {
+			t.Errorf("state files %v, want the one of n1", list)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the state files are not read in 10 s")
+	}
+}
