--- a/cmd/harepass/inventory_bounds_test.go
+++ b/cmd/harepass/inventory_bounds_test.go
@@ -12,20 +12,25 @@
 	"harepass/internal/logmsg"
 )
 
-// selfContaining returns an inventory whose last group names itself as its child, as a typing mistake can.
-func (f *inventoryFront) selfContaining() string {
-	return "all:\n  children:\n    map_nodes: &map_nodes\n      hosts: {}\n      children:\n        spare_nodes: *map_nodes\n"
-}
+// selfContaining is an inventory whose last group names itself as its child, as a typing mistake can.
+const selfContaining = `all:
+  children:
+    map_nodes: &map_nodes
+      hosts: {}
+      children:
+        spare_nodes: *map_nodes
+`
 
-// Review case 7: an inventory with a group that names itself, or something that is no file at all, is read on SIGHUP. The
-// process must not notice: its searches are served, the log names the fault, and a SIGTERM ends it in its time.
+// Review case 7: an inventory with a group that names itself, or something that is no file at all, is read on SIGHUP.
+// The process must not notice: its searches are served, the log names the fault, and a SIGTERM ends it in its time.
 func TestProcessOutlivesAnyInventory(t *testing.T) {
 	for name, tc := range map[string]struct {
 		replace func(f *inventoryFront) error
 		want    string
 	}{
-		"a group in itself": {func(f *inventoryFront) error { return os.WriteFile(f.inventory, []byte(f.selfContaining()), 0o600) },
-			"nodes.yml:6: group spare_nodes: the group contains itself"},
+		"a group in itself": {func(f *inventoryFront) error {
+			return os.WriteFile(f.inventory, []byte(selfContaining), 0o600)
+		}, "nodes.yml:6: group spare_nodes: the group contains itself"},
 		"many nodes": {func(f *inventoryFront) error {
 			return os.WriteFile(f.inventory, []byte("all: {"+strings.Repeat("a,", 2<<20-8)+"}\n"), 0o600)
 		}, "nodes.yml:1: over 150000 YAML indicators"},
@@ -63,18 +68,18 @@
 	}
 }
 
-// `harepass check` ends on such a file with one line that names file and line; it has no limit on memory that would end it
-// sooner.
+// harepass check ends on such a file with one line that names file and line.
 func TestCheckNamesGroupThatContainsItself(t *testing.T) {
 	f := newInventoryFront(t, "nodes.yml")
-	f.write(f.selfContaining())
+	f.write(selfContaining)
 	write := fileWriter(t, filepath.Dir(f.inventory))
 	write("settings.json", string(exampleSettings(t)))
 	front := write("front.yaml", "listen: "+f.search+"\nsettings: settings.json\ninventory: nodes.yml\n"+
 		"indices: {conditions: {class: conditions-summary}}\n")
 	var out, errs bytes.Buffer
 	status := run([]string{"check", "-opensearch", front}, &out, &errs)
-	if want := "nodes.yml:6: group spare_nodes: the group contains itself\n"; status != statusInvalid || !strings.HasSuffix(errs.String(), want) {
+	const want = "nodes.yml:6: group spare_nodes: the group contains itself\n"
+	if status != statusInvalid || !strings.HasSuffix(errs.String(), want) {
 		t.Errorf("status %d, error %q; want %d and %q", status, errs.String(), statusInvalid, want)
 	}
 }
--- a/cmd/harepass/inventory_rewrite_test.go
+++ b/cmd/harepass/inventory_rewrite_test.go
@@ -21,8 +21,8 @@
 	replicationFactor = 3  // of the example settings
 )
 
-// inventoryFront is a process that has its replicas from an inventory only. Each replica counts the parts of shards that
-// it does not hold.
+// inventoryFront is a process that has its replicas from an inventory only. Each replica counts the parts of shards
+// that it does not hold.
 type inventoryFront struct {
 	*program
 	t         *testing.T
@@ -61,8 +61,8 @@
 func (f *inventoryFront) yaml() string {
 	text := "all:\n  hosts:\n"
 	for position, port := range f.ports {
-		text += fmt.Sprintf("    node%02d:\n      ansible_host: 127.0.0.1\n      harepass_port: %s\n      harepass_cell: %d\n",
-			position, port, position)
+		text += fmt.Sprintf("    node%02d:\n      ansible_host: 127.0.0.1\n      harepass_port: %s\n", position, port)
+		text += fmt.Sprintf("      harepass_cell: %d\n", position)
 	}
 	return text
 }
@@ -77,9 +77,9 @@
 // startProcess writes the process's other files and starts it.
 func (f *inventoryFront) startProcess() {
 	write := fileWriter(f.t, filepath.Dir(f.inventory))
-	settings := bytes.Replace(exampleSettings(f.t), []byte(`"positions": 3`), fmt.Appendf(nil, `"positions": %d`, ringSize), 1)
-	settings = bytes.Replace(settings, []byte(`"shards": 6`), fmt.Appendf(nil, `"shards": %d`, ringSize), 1)
-	write("settings.json", string(settings))
+	large := strings.NewReplacer(`"positions": 3`, fmt.Sprintf(`"positions": %d`, ringSize),
+		`"shards": 6`, fmt.Sprintf(`"shards": %d`, ringSize))
+	write("settings.json", large.Replace(string(exampleSettings(f.t))))
 	front := write("front.yaml", "listen: "+f.search+"\nsettings: settings.json\ninventory: "+f.inventory+
 		"\nall: conditions\nindices: {conditions: {class: conditions-summary}}\n")
 	f.program = startProgram(f.t, nil, "serve", "-opensearch", front)
@@ -87,7 +87,9 @@
 
 func (f *inventoryFront) waitReady() {
 	f.t.Helper()
-	eventually(f.t, "the process is ready", func() bool { return getStatus("http://"+f.search+"/_cluster/health") == 200 })
+	eventually(f.t, "the process is ready", func() bool {
+		return getStatus("http://"+f.search+"/_cluster/health") == 200
+	})
 }
 
 // write replaces the contents of the inventory in place.
@@ -124,23 +126,33 @@
 	return func(text string) string { return text[:len(text)-n] }
 }
 
+func withoutLastRow(text string) string {
+	return text[:strings.LastIndex(strings.TrimSpace(text), "\n")+1]
+}
+
+func firstRows(text string) string { return withoutLastRow(text[:len(text)/2]) }
+
+func withoutLastHost(text string) string { return text[:strings.LastIndex(text, "    node")] }
+
 func csvText(f *inventoryFront) string { return f.csv("\n") }
 
-// Review case 10: a tool rewrites the inventory in place, and a SIGHUP arrives between its two writes. What stands in the
-// file then can be read without a fault. It must not count as the whole file: a cell that is cut short sends parts to a
-// replica that does not hold their shard, and a missing row takes a replica out of service.
+// Review case 10: a tool rewrites the inventory in place, and a SIGHUP arrives between its two writes. What stands in
+// the file then can be read without a fault. It must not count as the whole file: a cell that is cut short sends parts
+// to a replica that does not hold their shard, and a missing row takes a replica out of service.
 func TestInventoryRewrittenWhileItIsRead(t *testing.T) {
-	withoutLastRow := func(text string) string { return text[:strings.LastIndex(strings.TrimSpace(text), "\n")+1] }
+	const pause = 1500 * time.Millisecond
+	crlfText := func(f *inventoryFront) string { return f.csv("\r\n") }
+	yamlText := (*inventoryFront).yaml
 	for name, tc := range map[string]rewrite{
-		"cut cell, file open":     {"nodes.csv", csvText, withoutLast(len("1\n")), true, 1500 * time.Millisecond},
-		"cut cell, file closed":   {"nodes.csv", csvText, withoutLast(len("1\n")), false, 1500 * time.Millisecond},
-		"no line break, open":     {"nodes.csv", csvText, withoutLast(len("\n")), true, 1500 * time.Millisecond},
-		"last row missing":        {"nodes.csv", csvText, withoutLastRow, false, 1500 * time.Millisecond},
-		"half of the rows":        {"nodes.csv", csvText, func(s string) string { return withoutLastRow(s[:len(s)/2]) }, false, 1500 * time.Millisecond},
-		"nothing":                 {"nodes.csv", csvText, func(string) string { return "" }, false, 1500 * time.Millisecond},
-		"cut between CR and LF":   {"nodes.csv", func(f *inventoryFront) string { return f.csv("\r\n") }, withoutLast(len("\n")), false, 500 * time.Millisecond},
-		"cut cell in block style": {"nodes.yml", (*inventoryFront).yaml, withoutLast(len("1\n")), false, 1500 * time.Millisecond},
-		"host missing in YAML":    {"nodes.yml", (*inventoryFront).yaml, func(s string) string { return s[:strings.LastIndex(s, "    node")] }, true, 1500 * time.Millisecond},
+		"cut cell, file open":     {"nodes.csv", csvText, withoutLast(len("1\n")), true, pause},
+		"cut cell, file closed":   {"nodes.csv", csvText, withoutLast(len("1\n")), false, pause},
+		"no line break, open":     {"nodes.csv", csvText, withoutLast(len("\n")), true, pause},
+		"last row missing":        {"nodes.csv", csvText, withoutLastRow, false, pause},
+		"half of the rows":        {"nodes.csv", csvText, firstRows, false, pause},
+		"nothing":                 {"nodes.csv", csvText, func(string) string { return "" }, false, pause},
+		"cut between CR and LF":   {"nodes.csv", crlfText, withoutLast(len("\n")), false, pause / 3},
+		"cut cell in block style": {"nodes.yml", yamlText, withoutLast(len("1\n")), false, pause},
+		"host missing in YAML":    {"nodes.yml", yamlText, withoutLastHost, true, pause},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -165,7 +177,8 @@
 	}
 }
 
-// rewriteInTwoWrites writes the inventory again, with a SIGHUP and searches between the two writes and a SIGHUP at the end.
+// rewriteInTwoWrites writes the inventory again, with a SIGHUP and searches between the two writes and a SIGHUP at the
+// end.
 func (f *inventoryFront) rewriteInTwoWrites(tc rewrite, text string) {
 	if tc.keepsOpen {
 		writer, err := os.OpenFile(f.inventory, os.O_WRONLY, 0)
@@ -214,28 +227,31 @@
 	began := time.Now()
 	f.Process.Signal(syscall.SIGTERM)
 	if err := f.Wait(); err != nil || time.Since(began) > earliestKill {
-		f.t.Errorf("after SIGTERM: ended after %v, error %v; want an end within %v\n%s", time.Since(began), err, earliestKill, f.log)
+		f.t.Errorf("ended %v after SIGTERM, error %v; want an end within %v\n%s", time.Since(began), err, earliestKill,
+			f.log)
 	}
 }
 
-// An inventory that leaves a section without a holder is refused at the start, by serve and by check, and the line names
-// the sections.
+// An inventory that leaves a section without a holder is refused at the start, by serve and by check, and the line
+// names the sections.
 func TestInventoryWithoutHolderIsRefused(t *testing.T) {
 	dir := t.TempDir()
 	write := fileWriter(t, dir)
-	write("settings.json", string(bytes.Replace(exampleSettings(t), []byte(`"positions": 3`), []byte(`"positions": 6`), 1)))
+	settings := bytes.Replace(exampleSettings(t), []byte(`"positions": 3`), []byte(`"positions": 6`), 1)
+	write("settings.json", string(settings))
 	write("nodes.csv", "name,port,cell\na,1,0\nb,1,2\n")
 	front := write("front.yaml", "listen: 127.0.0.1:1\nsettings: settings.json\ninventory: nodes.csv\n"+
 		"indices: {conditions: {class: conditions-summary}}\n")
 	const fault = "nodes.csv: no host holds the sections [3]"
 	var out, errs bytes.Buffer
-	if status := run([]string{"check", "-opensearch", front}, &out, &errs); status != statusInvalid || !strings.Contains(errs.String(), fault) {
+	status := run([]string{"check", "-opensearch", front}, &out, &errs)
+	if status != statusInvalid || !strings.Contains(errs.String(), fault) {
 		t.Errorf("check: status %d, error %q; want %d and %q", status, errs.String(), statusInvalid, fault)
 	}
 	p := startProgram(t, nil, "serve", "-opensearch", front)
 	eventually(t, "serve names the sections", func() bool { return p.logged(fault) })
 	if p.Wait(); p.ProcessState.ExitCode() != statusInvalid {
-		t.Errorf("serve: exit status %d, want %d", p.ProcessState.ExitCode(), statusInvalid)
+		t.Errorf("serve: status %d, want %d", p.ProcessState.ExitCode(), statusInvalid)
 	}
 }
 
--- a/internal/config/file_set.go
+++ b/internal/config/file_set.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"fmt"
 	"log/slog"
 	"os"
+	"strings"
 	"time"
 
 	"harepass/internal/decide/stability"
@@ -17,20 +19,25 @@
 const startTimeout = 10 * time.Second
 
 // ErrFilesChanging means that the installation's files did not stay the same for long enough to count as whole.
-var ErrFilesChanging = errors.New("the configuration files keep changing while they are read")
+var ErrFilesChanging = errors.New("the files keep changing while they are read")
 
-// fileSet remembers which versions of files were read together. It holds the files whose format does not tell a cut file
-// from a whole one: YAML and CSV. JSON that is cut short does not parse.
-type fileSet struct{ looks []stability.Look }
+// fileSet remembers which versions of files were read together. It holds the files whose format does not tell a cut
+// file from a whole one: YAML and CSV. JSON that is cut short does not parse.
+type fileSet struct {
+	paths []string
+	looks []stability.Look // one for each path
+}
 
 // add remembers a look at a file.
-func (s *fileSet) add(l stability.Look) { s.looks = append(s.looks, l) }
+func (s *fileSet) add(path string, l stability.Look) {
+	s.paths, s.looks = append(s.paths, path), append(s.looks, l)
+}
 
 // read reads a file and remembers the look at it.
 func (s *fileSet) read(path string) ([]byte, error) {
 	file, err := inputfile.Inspect(path)
 	file.Look.Suspect = err == nil && len(file.Data) > 0 && !inputfile.EndsLine(file.Data)
-	s.add(file.Look)
+	s.add(path, file.Look)
 	return file.Data, err
 }
 
@@ -57,8 +64,8 @@
 }
 
 // loadStable calls load until the files that it reads count as whole, and returns the last result. load is called
-// once if it reads none of the files that a fileSet holds. The error is that of load, ErrFilesChanging, or the cause of
-// ctx.
+// once if it reads none of the files that a fileSet holds. The error is that of load, wraps ErrFilesChanging, or is the
+// cause of ctx.
 func loadStable[T any](ctx context.Context, load func(*fileSet) (T, error)) (result T, err error) {
 	files := &fileSet{}
 	if result, err = load(files); len(files.looks) == 0 {
@@ -71,14 +78,18 @@
 		result, err = load(files)
 		return files.look()
 	}
-	if waitErr := inputfile.WaitStable(waitContext, inputfile.StartWindows, look, logPostponed()); waitErr != nil {
+	waitErr := inputfile.WaitStable(waitContext, inputfile.StartWindows, look, logPostponed())
+	if errors.Is(waitErr, ErrFilesChanging) {
+		return result, fmt.Errorf("%s: %w", strings.Join(files.paths, ", "), waitErr)
+	}
+	if waitErr != nil {
 		return result, waitErr
 	}
 	return result, err
 }
 
-// logPostponed returns a function that logs why files do not count as whole, whenever the reason changes. That they have
-// not been looked at for long enough is not logged, since it is so at each start.
+// logPostponed returns a function that logs why files do not count as whole, whenever the reason changes. That they
+// have not been looked at for long enough is not logged, since it is so at each start.
 func logPostponed() func(stability.Reason) {
 	last := stability.Unchecked
 	return func(reason stability.Reason) {
--- a/internal/config/opensearch.go
+++ b/internal/config/opensearch.go
@@ -40,7 +40,7 @@
 		c.Inventory.ShardsWithoutHolder = c.shardsWithoutHolder
 	}
 	reading := c.Inventory.Look()
-	files.add(reading.Look)
+	files.add(front.Inventory, reading.Look)
 	if reading.Err != nil {
 		return reading.Err
 	}
--- a/internal/core/endpoint_updates_test.go
+++ b/internal/core/endpoint_updates_test.go
@@ -68,7 +68,8 @@
 		c.Settings.RingSize, c.Settings.ReplicationFactor, c.Limits.Shards = 4, 1, 4
 	})
 	h.UpdateEndpoints("inventory", scatter.FullUpdate, []Endpoint{at("i0", 0, scatter.Ready), at("i1", 1, scatter.Ready)})
-	h.UpdateEndpoints("discovery", scatter.CachedUpdate, []Endpoint{at("d0", 0, scatter.Ready), at("d1", 1, scatter.Draining)})
+	h.UpdateEndpoints("discovery", scatter.CachedUpdate,
+		[]Endpoint{at("d0", 0, scatter.Ready), at("d1", 1, scatter.Draining)})
 	h.tick()
 	for _, tc := range []struct {
 		next []Endpoint
--- a/internal/decide/stability/stability_test.go
+++ b/internal/decide/stability/stability_test.go
@@ -22,15 +22,19 @@
 func TestObserve(t *testing.T) {
 	for name, steps := range map[string][]step{
 		"one look never suffices": {{at: 9000, version: 1, want: Unchecked}},
-		"unchanged":               {{at: 0, version: 1, want: Unchecked}, {at: 999, version: 1, want: Unchecked}, {at: 1000, version: 1, want: Stable}},
+		"unchanged": {{at: 0, version: 1, want: Unchecked}, {at: 999, version: 1, want: Unchecked},
+			{at: 1000, version: 1, want: Stable}},
 		"changes start anew": {{at: 0, version: 1, want: Unchecked}, {at: 900, version: 2, want: Changed},
 			{at: 1800, version: 2, want: Unchecked}, {at: 1900, version: 2, want: Stable}},
 		"back to an earlier version": {{at: 0, version: 1, want: Unchecked}, {at: 500, version: 2, want: Changed},
 			{at: 1000, version: 1, want: Changed}, {at: 2000, version: 1, want: Stable}},
-		"suspect":    {{at: 0, version: 1, suspect: true, want: Suspect}, {at: 2999, version: 1, suspect: true, want: Suspect}, {at: 3000, version: 1, suspect: true, want: Stable}},
-		"a writer":   {{at: 0, version: 1, writing: true, want: Writing}, {at: 29999, version: 1, writing: true, want: Writing}, {at: 30000, version: 1, writing: true, want: Stable}},
+		"suspect": {{at: 0, version: 1, suspect: true, want: Suspect}, {at: 2999, version: 1, suspect: true, want: Suspect},
+			{at: 3000, version: 1, suspect: true, want: Stable}},
+		"a writer": {{at: 0, version: 1, writing: true, want: Writing}, {at: 29999, version: 1, writing: true, want: Writing},
+			{at: 30000, version: 1, writing: true, want: Stable}},
 		"it is gone": {{at: 0, version: 1, writing: true, want: Writing}, {at: 5000, version: 1, want: Stable}},
-		"both":       {{at: 0, version: 1, suspect: true, want: Suspect}, {at: 5000, version: 1, suspect: true, writing: true, want: Writing}},
+		"both": {{at: 0, version: 1, suspect: true, want: Suspect},
+			{at: 5000, version: 1, suspect: true, writing: true, want: Writing}},
 	} {
 		var tracker Tracker
 		for _, s := range steps {
--- a/internal/inputfile/read.go
+++ b/internal/inputfile/read.go
@@ -95,8 +95,8 @@
 	return File{Data: data, Look: look}, nil
 }
 
-// EndsLine reports whether the last line of a file's contents has its line break. Contents that are cut within a line do
-// not, although those of some whole files do not either.
+// EndsLine reports whether the last line of a file's contents has its line break. Contents that are cut within a line
+// do not, although those of some whole files do not either.
 func EndsLine(data []byte) bool { return bytes.HasSuffix(data, []byte("\n")) }
 
 // identity is what the file system tells of a state of a file. The change time is that of the last write even if a
@@ -115,8 +115,8 @@
 	return id
 }
 
-// versionOf returns the version of a file. The contents are a part of it because two writes within one tick of the file
-// system's clock leave the same times.
+// versionOf returns the version of a file. The contents are a part of it because two writes within one tick of the
+// file system's clock leave the same times.
 func versionOf(info fs.FileInfo, data []byte) (v stability.Version) {
 	h := sha256.New()
 	fmt.Fprintf(h, "%+v\n", identityOf(info))
--- a/internal/inputfile/read_test.go
+++ b/internal/inputfile/read_test.go
@@ -5,6 +5,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -12,8 +13,8 @@
 	"harepass/internal/decide/stability"
 )
 
-// What stands in a file's place may be anything. A reading ends at once, with an error that says what is wrong, and reads
-// no more than a bounded number of bytes: a FIFO without a writer would block an ordinary open for good.
+// What stands in a file's place may be anything. A reading ends at once, with an error that says what is wrong, and
+// reads no more than a bounded number of bytes: a FIFO without a writer would block an ordinary open for good.
 func TestOnlyBoundedRegularFilesAreRead(t *testing.T) {
 	dir := t.TempDir()
 	fifo, large, locked := filepath.Join(dir, "fifo"), filepath.Join(dir, "large"), filepath.Join(dir, "none")
@@ -31,8 +32,9 @@
 		began := time.Now()
 		_, err := Read(path)
 		var pathError *fs.PathError
-		if !errors.Is(err, want) || !errors.As(err, &pathError) || pathError.Path != path || time.Since(began) > time.Second {
-			t.Errorf("%s: error %v after %v, want at once an error with the path that wraps %q", path, err, time.Since(began), want)
+		took := time.Since(began)
+		if !errors.Is(err, want) || !errors.As(err, &pathError) || pathError.Path != path || took > time.Second {
+			t.Errorf("%s: error %v after %v, want at once an error with the path that wraps %q", path, err, took, want)
 		}
 	}
 }
@@ -47,8 +49,8 @@
 	return f.Look
 }
 
-// A look must show another version after any write to the file, also if the tool keeps size and times, and after another
-// file has taken its place. Looks without a write in between show the same version.
+// A look must show another version after any write to the file, also if the tool keeps size and times, and after
+// another file has taken its place. Looks without a write in between show the same version.
 func TestVersionShowsEachWrite(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "nodes.csv")
 	seen := map[stability.Version]string{}
@@ -102,3 +104,29 @@
 		t.Error("with another reader, a look shows a writer")
 	}
 }
+
+// A tool opens the file for writing again and again while it is looked at. Neither notices the other: a look must not
+// make a writer fail, nor the lease that it takes for an instant end this process by the signal that breaks it.
+func TestLooksDoNotDisturbWriters(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "nodes.csv")
+	if err := os.WriteFile(path, []byte("name\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var writers sync.WaitGroup
+	end := time.Now().Add(300 * time.Millisecond)
+	for range 4 {
+		writers.Go(func() {
+			for time.Now().Before(end) {
+				if err := os.WriteFile(path, []byte("name\n"), 0o600); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	for time.Now().Before(end) {
+		if _, err := Inspect(path); err != nil {
+			t.Error(err)
+		}
+	}
+	writers.Wait()
+}
--- a/internal/inputfile/wait.go
+++ b/internal/inputfile/wait.go
@@ -7,8 +7,8 @@
 	"harepass/internal/decide/stability"
 )
 
-// ReloadWindows are the times for a file that a running process reads again. Waiting costs little then, since the process
-// serves on with what it has.
+// ReloadWindows are the times for a file that a running process reads again. Waiting costs little then, since the
+// process serves on with what it has.
 var ReloadWindows = stability.Windows{Settled: time.Second, Suspect: 3 * time.Second, Writing: 30 * time.Second}
 
 // StartWindows are the times for the files of a process that starts, and that serves nobody meanwhile.
@@ -17,8 +17,8 @@
 // lookInterval is the time between two looks at a file that does not count as whole yet.
 const lookInterval = 250 * time.Millisecond
 
-// WaitStable calls look until the file counts as whole after that look, or ctx is done. It calls waiting after each look
-// that does not suffice. The error is the cause of ctx.
+// WaitStable calls look until the file counts as whole after that look, or ctx is done. It calls waiting after each
+// look that does not suffice. The error is the cause of ctx.
 func WaitStable(ctx context.Context, w stability.Windows, look func() stability.Look,
 	waiting func(stability.Reason)) error {
 	began := time.Now()
--- a/internal/inputfile/writers.go
+++ b/internal/inputfile/writers.go
@@ -15,8 +15,8 @@
 // openForWriting reports whether any process of this machine has a file open for writing. It returns false if the
 // system does not tell, as for files of other users and of file systems without leases.
 //
-// The system grants a read lease only while nobody has the file open for writing. The lease is given back at once; a
-// process that opens the file in between waits for that.
+// The system grants a read lease only while nobody has the file open for writing. The lease is given back at once. A
+// process that opens the file for writing in between waits for that, unless it asked not to wait (O_NONBLOCK).
 func openForWriting(f *os.File) (writing bool) {
 	conn, err := f.SyscallConn()
 	if err != nil {
--- a/internal/inputfile/yaml.go
+++ b/internal/inputfile/yaml.go
@@ -15,8 +15,8 @@
 // ErrYAMLTooLarge means that a YAML file has more entries than any sensible one.
 var ErrYAMLTooLarge = fmt.Errorf("over %d YAML indicators, the file is too large", maxYAMLIndicators)
 
-// CheckYAML returns ErrYAMLTooLarge, and the line from which on it applies, for YAML that has too many nodes to be parsed
-// within a process's memory.
+// CheckYAML returns ErrYAMLTooLarge, and the line from which on it applies, for YAML that has too many nodes to be
+// parsed within a process's memory.
 func CheckYAML(data []byte) (line int, err error) {
 	indicators := 0
 	line = 1
--- a/internal/inventory/bounds_test.go
+++ b/internal/inventory/bounds_test.go
@@ -30,16 +30,19 @@
 // groups that double the work with each line, and files that take far more memory than their size, are of the same kind.
 func TestFileDoesNotDecideCost(t *testing.T) {
 	for name, tc := range map[string]struct{ file, text, want string }{
-		"a group in itself": {"a.yml", "all:\n  children:\n    map_nodes: &m\n      hosts: {}\n      children:\n        spare: *m\n",
+		"a group in itself": {"a.yml",
+			"all:\n  children:\n    map_nodes: &m\n      hosts: {}\n      children:\n        spare: *m\n",
 			"a.yml:6: group spare: the group contains itself"},
-		"an ancestor far up": {"a.yml", "all: &all\n  children:\n    a:\n      children:\n        b:\n          children:\n            c: *all\n",
+		"an ancestor far up": {"a.yml",
+			"all: &all\n  children:\n    a:\n      children:\n        b:\n          children:\n            c: *all\n",
 			"a.yml:7: group c: the group contains itself"},
-		"its own children": {"a.yml", "all:\n  children: &c\n    a:\n      children: *c\n", "a.yml:4: group a: the group contains itself"},
-		"doubling groups":  {"a.yml", doubling(60), "groups and aliases lead to over 500000 entries"},
-		"deep groups":      {"a.yml", nested(3000), "a.yml:1: group g: over 100 groups within each other"},
-		"many nodes":       {"a.yml", "all: {" + strings.Repeat("a,", 1<<20) + "}", "a.yml:1: over 150000 YAML indicators"},
-		"many lines":       {"a.yml", strings.Repeat("-\n", 1<<20), "a.yml:75001: over 150000 YAML indicators"},
-		"many rows":        {"a.csv", "name,port,cell\n" + rows(300_000), "a.csv:20002: over 20000 hosts"},
+		"its own children": {"a.yml", "all:\n  children: &c\n    a:\n      children: *c\n",
+			"a.yml:4: group a: the group contains itself"},
+		"doubling groups": {"a.yml", doubling(60), "groups and aliases lead to over 500000 entries"},
+		"deep groups":     {"a.yml", nested(3000), "a.yml:1: group g: over 100 groups within each other"},
+		"many nodes":      {"a.yml", "all: {" + strings.Repeat("a,", 1<<20) + "}", "a.yml:1: over 150000 YAML indicators"},
+		"many lines":      {"a.yml", strings.Repeat("-\n", 1<<20), "a.yml:75001: over 150000 YAML indicators"},
+		"many rows":       {"a.csv", "name,port,cell\n" + rows(300_000), "a.csv:20002: over 20000 hosts"},
 	} {
 		began := time.Now()
 		_, err := load(t, tc.file, tc.text, "")
@@ -62,7 +65,8 @@
 	return text.String()
 }
 
-// Sound files use aliases too: for a host's values, for groups that several others contain, and for groups within groups.
+// Sound files use aliases too: for a host's values, for groups that several others contain, and for groups within
+// groups.
 func TestAliasesThatEndAreRead(t *testing.T) {
 	const text = `
 all:
@@ -81,7 +85,8 @@
       children: {north: *north, again: {children: {north: *north}}}
 `
 	got, err := load(t, "a.yml", text, "both")
-	want := []Host{{Name: "a", Address: "a:8080", RingPosition: 1, API: "frame"}, {Name: "b", Address: "b:8080", RingPosition: 2, API: "frame"}}
+	want := []Host{{Name: "a", Address: "a:8080", RingPosition: 1, API: "frame"},
+		{Name: "b", Address: "b:8080", RingPosition: 2, API: "frame"}}
 	if err != nil || len(got) != 2 || got[0] != want[0] || got[1] != want[1] {
 		t.Errorf("hosts %+v, error %v; want %+v", got, err, want)
 	}
--- a/internal/inventory/host.go
+++ b/internal/inventory/host.go
@@ -46,8 +46,8 @@
 
 // Load reads the hosts of a file once, in the file's order, without waiting for a file that is being written. The
 // extension selects the format: CSV for .csv, and YAML for .yml and .yaml. From YAML, Load returns the hosts of one
-// group, or all hosts if group is empty. Ring positions range from 0 to ringSize-1. The error is an *Error, the error of
-// reading the file, or wraps ErrUnknownFormat.
+// group, or all hosts if group is empty. Ring positions range from 0 to ringSize-1. The error is an *Error, the error
+// of reading the file, or wraps ErrUnknownFormat.
 func Load(path, group string, ringSize int) ([]Host, error) {
 	data, err := inputfile.Read(path)
 	if err != nil {
--- a/internal/opensearch/doc.go
+++ b/internal/opensearch/doc.go
@@ -27,7 +27,7 @@
 //
 // # Concurrency
 //
-// Any goroutine may call Front.Handle and all methods of Caller. Only ParseConfig and Check write to a Config, without a
-// lock, so Check must finish before the first request reads the Config. When the settings change, CheckedCopy checks a
-// copy, and Front.Reconfigure replaces the Config that requests read.
+// Any goroutine may call Front.Handle and all methods of Caller. Only ParseConfig and Check write to a Config, without
+// a lock, so Check must finish before the first request reads the Config. When the settings change, CheckedCopy checks
+// a copy, and Front.Reconfigure replaces the Config that requests read.
 package opensearch
--- a/internal/relay/authority_test.go
+++ b/internal/relay/authority_test.go
@@ -187,8 +187,8 @@
 	}
 }
 
-// An authority's files are rewritten while a reload reads them. JSON that is cut anywhere does not parse, so nothing of a
-// torn file is published: this is what protects these files, which are read without waiting until they are whole.
+// An authority's files are rewritten while a reload reads them. JSON that is cut anywhere does not parse, so nothing of
+// a torn file is published: this is what protects these files, which are read without waiting until they are whole.
 func TestTornFilesAreNotPublished(t *testing.T) {
 	a, _, _, write := newFileAuthority(t)
 	a.CheckSettings = func(_, next json.RawMessage) ([]string, error) { // as config.CheckFleetSettings does first
