Inventory: one word for a complete file, an emptied YAML file is suspect too

Change: comments; the exception for empty files is gone. Measured: the tests of config, lifecycle, inventory and stability pass.

--- a/cmd/harepass/inventory_rewrite_test.go
+++ b/cmd/harepass/inventory_rewrite_test.go
@@ -195,8 +195,8 @@
 }
 
 // A tool is killed in the middle of a row, so that the file stays torn: it is refused for the sections that it leaves
-// without a holder, and the old endpoints serve on. Once the file is whole, it is read without another SIGHUP. A SIGTERM
-// meanwhile ends the process in its time.
+// without a holder, and the old endpoints serve on. Once the file is whole, it is read without another SIGHUP. A
+// SIGTERM meanwhile ends the process in its time.
 func TestRejectedInventoryIsReadAgainWithoutSignal(t *testing.T) {
 	t.Parallel()
 	f := newInventoryFront(t, "nodes.csv")
--- a/cmd/harepass/inventory_soak_test.go
+++ b/cmd/harepass/inventory_soak_test.go
@@ -31,9 +31,9 @@
 	random *rand.Rand
 }
 
-// Tools rewrite the inventory in place, by rename, with pauses anywhere in the text, or die and begin again, and SIGHUPs
-// arrive at any time. Whatever is drawn, no part reaches a replica that does not hold its shard, every search is served,
-// and only lists that a tool wrote to the end are put in force.
+// Tools rewrite the inventory in place, by rename, with pauses anywhere in the text, or die and begin again, and
+// SIGHUPs arrive at any time. Whatever is drawn, no part reaches a replica that does not hold its shard, every search
+// is served, and only lists that a tool wrote to the end are put in force.
 func TestInventorySoak(t *testing.T) {
 	for seed := *firstInventorySeed; seed < *firstInventorySeed+*inventorySeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -53,8 +53,8 @@
 }
 
 // Load reads the platform's file, the OpenSearch front's file, or both, and the files of overload control and
-// distribution unless those parts are off. It waits until the files of these parts and the inventory count as whole, or
-// ctx is done. The error is an *InvalidError, or the cause of ctx.
+// distribution unless those parts are off. It waits until the files of these parts and the inventory count as complete,
+// or ctx is done. The error is an *InvalidError, or the cause of ctx.
 func Load(ctx context.Context, env Environment, paths Paths, clock core.Clock) (*Config, error) {
 	c, err := loadStable(ctx, func(files *fileSet) (*Config, error) { return load(files, env, paths, clock) })
 	if ctx.Err() != nil {
--- a/internal/config/distribution_test.go
+++ b/internal/config/distribution_test.go
@@ -40,7 +40,8 @@
 	if f, err := loadDistribution(&fileSet{}, "../../deploy/distribution.example.yaml"); err != nil || len(f.Sources) < 3 {
 		t.Errorf("example file: %+v, error %v; want at least 3 sources", f, err)
 	}
-	if f, err := loadDistribution(&fileSet{}, DefaultDistributionPath); f != nil || err != nil || f.Takes(ResourceEndpoints) {
+	f, err := loadDistribution(&fileSet{}, DefaultDistributionPath)
+	if f != nil || err != nil || f.Takes(ResourceEndpoints) {
 		t.Errorf("missing file at the default path: %+v, error %v; want nil and no error", f, err)
 	}
 }
--- a/internal/config/doc.go
+++ b/internal/config/doc.go
@@ -4,9 +4,10 @@
 // # Contract
 //
 // Load reads everything that a coordinator needs: the platform's file, the PROXY_* variables and the installation's
-// files for the OpenSearch front, overload control and distribution. LoadRelay reads a relay's file. Both return
-// either a complete value or an *InvalidError; neither starts anything or opens a socket. A missing file is an error,
-// unless it is the default path of an optional part.
+// files for the OpenSearch front, overload control and distribution. LoadRelay reads a relay's file. Both wait until
+// the installation's files are complete, and return either a complete value, an *InvalidError, or the cause of a context
+// that ended the wait; neither starts anything or opens a socket. A missing file is an error, unless it is the default
+// path of an optional part.
 //
 // A Config is a plain struct. Its owner may replace Settings, ProtocolLimits and Platform by those of another Config
 // that Changes has accepted. No method of this package writes to a Config after it is returned: Changes checks a copy
@@ -24,6 +25,7 @@
 //	upstream.go         the relays that a process follows, in both of those files
 //	changes.go          what a reload would change, why it is rejected, and what needs a restart
 //	fleet_settings.go   settings that relays distribute to a whole fleet
+//	file_set.go         waits at the start until the files that are read together are complete
 //	decode.go           strict decoding, and stable type names in its error messages
 //	errors.go           the errors that a caller can distinguish
 package config
--- a/internal/config/file_set.go
+++ b/internal/config/file_set.go
@@ -18,11 +18,11 @@
 // startTimeout is how long a process that starts waits for files that keep changing.
 const startTimeout = 10 * time.Second
 
-// ErrFilesChanging means that the installation's files did not stay the same for long enough to count as whole.
+// ErrFilesChanging means that the installation's files did not stay the same for long enough to count as complete.
 var ErrFilesChanging = errors.New("the files keep changing while they are read")
 
 // fileSet remembers which versions of files were read together. It holds the files whose format does not tell a cut
-// file from a whole one: YAML and CSV. JSON that is cut short does not parse.
+// file from a complete one: YAML and CSV. JSON that is cut short does not parse.
 type fileSet struct {
 	paths []string
 	looks []stability.Look // one for each path
@@ -36,7 +36,7 @@
 // read reads a file and remembers the look at it.
 func (s *fileSet) read(path string) ([]byte, error) {
 	file, err := inputfile.Inspect(path)
-	file.Look.Suspect = err == nil && len(file.Data) > 0 && !inputfile.EndsLine(file.Data)
+	file.Look.Suspect = err == nil && !inputfile.EndsLine(file.Data)
 	s.add(path, file.Look)
 	return file.Data, err
 }
@@ -63,7 +63,7 @@
 	return all
 }
 
-// loadStable calls load until the files that it reads count as whole, and returns the last result. load is called
+// loadStable calls load until the files that it reads count as complete, and returns the last result. load is called
 // once if it reads none of the files that a fileSet holds. The error is that of load, wraps ErrFilesChanging, or is the
 // cause of ctx.
 func loadStable[T any](ctx context.Context, load func(*fileSet) (T, error)) (result T, err error) {
@@ -88,7 +88,7 @@
 	return result, err
 }
 
-// logPostponed returns a function that logs why files do not count as whole, whenever the reason changes. That they
+// logPostponed returns a function that logs why files do not count as complete, whenever the reason changes. That they
 // have not been looked at for long enough is not logged, since it is so at each start.
 func logPostponed() func(stability.Reason) {
 	last := stability.Unchecked
--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -49,8 +49,8 @@
 	minLogEvery      = 100 * time.Millisecond
 )
 
-// LoadRelay reads a relay's file once that counts as whole, or until ctx is done. The error is an *InvalidError, or the
-// cause of ctx.
+// LoadRelay reads a relay's file once that counts as complete, or until ctx is done. The error is an *InvalidError, or
+// the cause of ctx.
 func LoadRelay(ctx context.Context, path string) (*RelayFile, error) {
 	f, err := loadStable(ctx, func(files *fileSet) (*RelayFile, error) { return loadRelay(files, path) })
 	if ctx.Err() != nil {
--- a/internal/decide/stability/stability.go
+++ b/internal/decide/stability/stability.go
@@ -1,8 +1,8 @@
-// Package stability decides when a file that other programs write may be taken as whole.
+// Package stability decides when a file that other programs write may be taken as complete.
 //
-// Nothing in a file says that it is whole: its format allows the last line without a line break, and a tool may be cut
-// off at the end of any line. A file therefore counts as whole once several looks over a time have shown the same
-// version of it. How long that time is depends on what else speaks against the file.
+// Nothing in a file says that it is complete: its format allows the last line without a line break, and a tool may be
+// cut off at the end of any line. A file therefore counts as complete once several looks over a time have shown the
+// same version of it. How long that time is depends on what else speaks against the file.
 //
 // # Contract
 //
@@ -25,12 +25,12 @@
 	Suspect bool
 }
 
-// Reason says why a file does not count as whole yet.
+// Reason says why a file does not count as complete yet.
 type Reason int
 
 // Reasons.
 const (
-	Stable    Reason = iota // the file counts as whole
+	Stable    Reason = iota // the file counts as complete
 	Unchecked               // too few looks have shown this version
 	Changed                 // the last look showed another version than the one before
 	Writing                 // another process is writing the file
@@ -68,8 +68,8 @@
 	since   time.Duration // when a look first showed this version, without another in between
 }
 
-// Observe records a look at the file at the instant now. It returns Stable if the file counts as whole, else the reason
-// to look again.
+// Observe records a look at the file at the instant now. It returns Stable if the file counts as complete, else the
+// reason to look again.
 func (t *Tracker) Observe(l Look, now time.Duration, w Windows) Reason {
 	first := !t.seen
 	if first || l.Version != t.version {
--- a/internal/decide/stability/stability_test.go
+++ b/internal/decide/stability/stability_test.go
@@ -17,8 +17,8 @@
 	want    Reason
 }
 
-// A file is rewritten while it is looked at. It never counts as whole before it has been unchanged for the window that
-// its last look calls for, however the looks fall.
+// A file is rewritten while it is looked at. It never counts as complete before it has been unchanged for the window
+// that its last look calls for, however the looks fall.
 func TestObserve(t *testing.T) {
 	for name, steps := range map[string][]step{
 		"one look never suffices": {{at: 9000, version: 1, want: Unchecked}},
--- a/internal/inputfile/read.go
+++ b/internal/inputfile/read.go
@@ -1,12 +1,12 @@
-// Package inputfile reads files that operators and their tools write, and waits until such a file is whole.
+// Package inputfile reads files that operators and their tools write, and waits until such a file is complete.
 //
-// Whatever stands in its place, a reading ends: only regular files are read, up to a size. Package stability decides
-// when a file counts as whole.
+// A reading ends also if a path leads to something else than a file: only regular files are read, up to a size limit.
+// Package stability decides when a file counts as complete.
 //
 //	read.go     one reading of a file
 //	yaml.go     bound on what a YAML file makes of its size
 //	writers.go  whether another process has a file open for writing
-//	wait.go     looks at a file until it is whole
+//	wait.go     looks at a file until it is complete
 package inputfile
 
 import (
@@ -96,7 +96,7 @@
 }
 
 // EndsLine reports whether the last line of a file's contents has its line break. Contents that are cut within a line
-// do not, although those of some whole files do not either.
+// do not, although those of some complete files do not either.
 func EndsLine(data []byte) bool { return bytes.HasSuffix(data, []byte("\n")) }
 
 // identity is what the file system tells of a state of a file. The change time is that of the last write even if a
--- a/internal/inputfile/wait.go
+++ b/internal/inputfile/wait.go
@@ -14,10 +14,10 @@
 // StartWindows are the times for the files of a process that starts, and that serves nobody meanwhile.
 var StartWindows = stability.Windows{Settled: time.Second, Suspect: 3 * time.Second, Writing: 3 * time.Second}
 
-// lookInterval is the time between two looks at a file that does not count as whole yet.
+// lookInterval is the time between two looks at a file that does not count as complete yet.
 const lookInterval = 250 * time.Millisecond
 
-// WaitStable calls look until the file counts as whole after that look, or ctx is done. It calls waiting after each
+// WaitStable calls look until the file counts as complete after that look, or ctx is done. It calls waiting after each
 // look that does not suffice. The error is the cause of ctx.
 func WaitStable(ctx context.Context, w stability.Windows, look func() stability.Look,
 	waiting func(stability.Reason)) error {
--- a/internal/inventory/bounds_test.go
+++ b/internal/inventory/bounds_test.go
@@ -27,7 +27,8 @@
 }
 
 // Review case 7: what a file makes of its size must have a bound. A group that names itself was read without an end;
-// groups that double the work with each line, and files that take far more memory than their size, are of the same kind.
+// groups that double the work with each line, and files that take far more memory than their size, are of the same
+// kind.
 func TestFileDoesNotDecideCost(t *testing.T) {
 	for name, tc := range map[string]struct{ file, text, want string }{
 		"a group in itself": {"a.yml",
--- a/internal/inventory/doc.go
+++ b/internal/inventory/doc.go
@@ -2,10 +2,10 @@
 // YAML in the layout of Ansible inventories.
 //
 // Load reads a file once. A Reader reads it repeatedly: Look says what the file shows, and its caller applies that once
-// the file counts as whole (package stability). The endpoint lists of Apply reflect what has changed since the previous
-// one. A fault in the file is an *Error with file and line, and no host of a faulty file is used. Whatever a file
-// contains, reading it takes a bounded time and a bounded multiple of its size. The package starts no goroutine and has
-// no state outside of a Reader; a Reader must not be used concurrently.
+// the file counts as complete (package stability). The endpoint lists of Apply reflect what has changed since the
+// previous one. A fault in the file is an *Error with file and line, and no host of a faulty file is used. Reading a
+// file takes a bounded time and bounded memory for any contents. The package starts no goroutine and has no state
+// outside of a Reader; a Reader must not be used concurrently.
 //
 // The columns and variables use the terms of the operators' pages: cell is the ring position, and api is the scheme
 // that the endpoint uses.
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -29,16 +29,17 @@
 	// put in force. It is nil if no shard needs a holder.
 	ShardsWithoutHolder func([]core.Endpoint) []int
 
-	endpoints map[string]core.Endpoint // last result of Apply, including draining endpoints, by ID; nil before the first
+	endpoints map[string]core.Endpoint // last result of Apply by ID, including draining ones; nil before the first
 	changes   Difference               // between the last two applied readings
 	last      Reading                  // of the last Look
 }
 
-// Reading is what one look at the file showed. The hosts must be applied only once the file counts as whole.
+// Reading is what one look at the file showed. The hosts must be applied only once the file counts as complete.
 type Reading struct {
 	Look  stability.Look
 	Hosts []Host
-	Err   error // an *Error, the error of reading the file, a *ShardWithoutHolderError, or one that wraps ErrUnknownFormat
+	// Err is an *Error, the error of reading the file, a *ShardWithoutHolderError, or wraps ErrUnknownFormat.
+	Err error
 }
 
 // Look reads and checks the file. The Reader's state for Apply does not change.
--- a/internal/lifecycle/inventory.go
+++ b/internal/lifecycle/inventory.go
@@ -17,7 +17,7 @@
 const (
 	// inventoryRetryInterval is the time after a rejected reading until the inventory is looked at again.
 	inventoryRetryInterval = time.Second
-	// postponedLogInterval is the time between two log lines about an inventory that does not count as whole yet.
+	// postponedLogInterval is the time between two log lines about an inventory that does not count as complete yet.
 	postponedLogInterval = 10 * time.Second
 )
 
@@ -29,7 +29,7 @@
 )
 
 // inventoryReloader reads the inventory again on request, in a goroutine of its own: neither the wait until the file
-// counts as whole nor the contents of the file hold up the goroutine that takes the signals.
+// counts as complete nor the contents of the file hold up the goroutine that takes the signals.
 //
 // A request stands until a reading has been accepted. A rejected reading is repeated, so that a file that was torn for
 // longer than inputfile.ReloadWindows, or that is corrected later, is put in force without another request.
@@ -101,7 +101,7 @@
 	}
 }
 
-// readStable looks at the inventory until it counts as whole. The error is that of ctx.
+// readStable looks at the inventory until it counts as complete. The error is that of ctx.
 func (r *inventoryReloader) readStable(ctx context.Context) (reading inventory.Reading, err error) {
 	log := postponedLog{path: r.reader.Path}
 	err = inputfile.WaitStable(ctx, inputfile.ReloadWindows, func() stability.Look {
@@ -121,8 +121,8 @@
 	r.update(endpoints)
 }
 
-// postponedLog logs why an inventory does not count as whole: when the reason changes, and every postponedLogInterval.
-// That it has not been looked at for long enough is not logged, since it is so at each reading.
+// postponedLog logs why an inventory does not count as complete: when the reason changes, and every
+// postponedLogInterval. That it has not been looked at for long enough is not logged, since it is so at each reading.
 type postponedLog struct {
 	path     string
 	last     stability.Reason
--- a/internal/logmsg/logmsg.go
+++ b/internal/logmsg/logmsg.go
@@ -54,9 +54,9 @@
 	ConfigurationRejected  = "configuration rejected"
 	FileSettingsIgnored    = "file settings ignored"
 	SettingsChanged        = "settings changed"
-	ConfigurationPostponed = "configuration reading postponed" // a file that is read at the start may not be whole
+	ConfigurationPostponed = "configuration reading postponed" // a file that is read at the start may not be complete
 	InventoryReloaded      = "inventory reloaded"
-	InventoryPostponed     = "inventory reading postponed" // the file may not be whole; it is looked at again
+	InventoryPostponed     = "inventory reading postponed" // the file may not be complete; it is looked at again
 	InventoryRejected      = "inventory rejected"
 	CoordinatorStopped     = "coordinator stopped"
 	MemoryUsed             = "memory used" // regularly, and whenever the memory has risen by a part of its limit
