Soak of inventories: texts that are written over the old one

Cause: a tool that does not empty the file first leaves new rows before old ones, which no mode drew. Change: one more mode, open until the end.

--- a/cmd/harepass/inventory_soak_test.go
+++ b/cmd/harepass/inventory_soak_test.go
@@ -96,7 +96,7 @@
 // rewrite writes the inventory in a way that is drawn.
 func (tool inventoryTool) rewrite(text string) {
 	tool.maybeReload()
-	switch tool.random.IntN(4) {
+	switch tool.random.IntN(5) {
 	case 0: // aside, and renamed
 		aside := tool.inventory + ".new"
 		if err := os.WriteFile(aside, []byte(text), 0o600); err != nil {
@@ -107,7 +107,9 @@
 			tool.t.Error(err)
 		}
 	case 1: // in place, open all the time
-		tool.writeInPieces(text, maxOpenPause)
+		tool.writeInPieces(text, os.O_TRUNC, maxOpenPause)
+	case 4: // over the old text, which is cut off at the end
+		tool.writeInPieces(text, 0, maxOpenPause)
 	case 2: // in place, and dead before the end
 		tool.write(text[:tool.random.IntN(len(text))])
 		tool.pause(maxTornPause)
@@ -121,9 +123,9 @@
 	tool.pause(4 * maxTornPause)
 }
 
-// writeInPieces writes the inventory in three pieces, with the file open in between.
-func (tool inventoryTool) writeInPieces(text string, longest time.Duration) {
-	f, err := os.Create(tool.inventory)
+// writeInPieces writes the inventory in three pieces, with the file open in between. flag is os.O_TRUNC or 0.
+func (tool inventoryTool) writeInPieces(text string, flag int, longest time.Duration) {
+	f, err := os.OpenFile(tool.inventory, os.O_WRONLY|flag, 0)
 	if err != nil {
 		tool.t.Error(err)
 		return
@@ -137,6 +139,9 @@
 		}
 		tool.pause(longest)
 	}
+	if err := f.Truncate(int64(len(text))); err != nil {
+		tool.t.Error(err)
+	}
 }
 
 // pause waits for a time that is drawn, with a SIGHUP before or not.
