--- a/internal/lifecycle/doc.go
+++ b/internal/lifecycle/doc.go
@@ -3,12 +3,14 @@
 //
 // # Contract
 //
-// A caller first calls NotifySignals, then reads the configuration, then runs the program. So a signal that arrives
-// while files are read is handled once the program runs. SIGTERM and SIGINT are handled alike: on either, both Run
+// A caller first calls NotifySignals, then reads the configuration under the context of Signals.Context, then runs the
+// program. So a signal to end that arrives while files are read ends the reading, and with it the program; a reload
+// signal is handled once the program runs. SIGTERM and SIGINT are handled alike: on either, both Run
 // functions answer the requests that they have accepted, within a bounded time, and return. They return an error if the
 // program cannot start: a *config.InvalidError if the configuration is invalid, else an error of the operating system.
 //
-// A single goroutine, the caller's, starts, reloads and drains; only it uses the fields of a process. The goroutines
+// A single goroutine, the caller's, starts, reloads and drains; only it uses the fields of a process, except that the
+// inventory's reader belongs to the goroutine of inventory.go once that is started. The goroutines
 // that it starts end with the process: the core's on Stop, the listeners' when their listener is closed, those that
 // wait for the core to start when it leaves the phase Starting, and all others when the context is cancelled.
 //
