--- a/cmd/harepass/host_test.go
+++ b/cmd/harepass/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -25,13 +26,16 @@
 }
 
 // newHost prepares a host with six replicas and no running process.
-func newHost(t *testing.T) *host {
+func newHost(t *testing.T) *host { return newHostWithDiscovery(t, nil) }
+
+// newHostWithDiscovery prepares a host as newHost does, with a discovery of the test's own.
+func newHostWithDiscovery(t *testing.T, discovery http.Handler) *host {
 	settings := []byte(withPolling(exampleSettings(t)))
 	settings = bytes.Replace(settings, []byte(`"rules": {`), []byte(`"rules": {"ask_every_us": 20000000, `), 1)
 	settings = withQuota(settings, "5000") // the clients stay within their quota
 	h, err := faultinjection.NewHost(faultinjection.HostConfig{Dir: t.TempDir(), Command: []string{os.Args[0], "serve"},
 		Env: []string{asProgram}, Settings: settings, Replicas: 6, ServiceTime: 20 * time.Millisecond,
-		MaintenanceGrace: maintenanceSlack})
+		MaintenanceGrace: maintenanceSlack, DiscoveryHandler: discovery})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -32,6 +32,7 @@
 	expires       time.Duration // instant from which the list must not be used
 	confirmed     bool          // discovery has confirmed the list since New, ServiceChanged and WatchRejected
 	waitsFrom     time.Duration // while not confirmed: when the wait for the first confirmation began
+	outdated      bool          // a change is known to be missing from the list (Outdated), and none has confirmed it since
 }
 
 // New returns the lease of a process that starts at now with a stored endpoint list. Changes count as notified to the
@@ -63,7 +64,7 @@
 
 // Confirmed records that the list was the latest one at the given instant, as discovery's answer showed.
 func (l *Lease) Confirmed(at time.Duration) {
-	l.confirmed = true
+	l.confirmed, l.outdated = true, false
 	l.notifiedAfter = backoff.NotifiedAfter
 	l.renew(at)
 }
@@ -100,6 +101,14 @@
 // renewed, but the list counts as not confirmed from then on (Rejected).
 func (l *Lease) WatchRejected(began time.Duration) { l.confirmed, l.waitsFrom = false, began }
 
+// Outdated records that the coordinator was notified at the given instant of a change that the list lacks: another of
+// its processes has the change, and this one cannot apply it. The list may be used for the drain grace from then on, and
+// only Confirmed renews the lease.
+func (l *Lease) Outdated(at time.Duration) {
+	l.outdated = true
+	l.expires = min(l.expires, at+l.grace)
+}
+
 // ServiceChanged records that a reload named another discovery service at the given instant. Until that service has
 // answered, its changes count as notified after backoff.NotifiedAfterReload. ServiceChanged never extends the lease.
 func (l *Lease) ServiceChanged(at time.Duration) {
@@ -114,6 +123,9 @@
 // renew counts the lease from an instant at which the list is treated as current. Calls may overlap and end out of
 // order, so an instant before countsFrom, which an earlier renewal or ServiceChanged has set, does not move it back.
 func (l *Lease) renew(at time.Duration) {
+	if l.outdated {
+		return
+	}
 	l.countsFrom = max(l.countsFrom, at)
 	l.expires = l.countsFrom + l.notifiedAfter + l.grace
 }
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -158,3 +158,20 @@
 		}
 	})
 }
+
+// Another process has a change that this one cannot apply. Its list may be used for the grace from then on, whatever
+// calls find, until discovery confirms it.
+func TestOutdatedListIsUsedForTheGraceOnly(t *testing.T) {
+	l := New(0, listMaxAge, second)
+	l.Confirmed(2 * second)
+	l.Outdated(3 * second)
+	l.Unreachable(3 * second)
+	if want := 3*second + usableGrace(second); l.Expires() != want {
+		t.Errorf("expires at %v, want %v", l.Expires(), want)
+	}
+	l.Confirmed(4 * second)
+	l.Unreachable(5 * second)
+	if want := 5*second + notified + usableGrace(second); l.Expires() != want {
+		t.Errorf("expires at %v after a confirmation, want %v", l.Expires(), want)
+	}
+}
--- a/internal/lifecycle/endpoints.go
+++ b/internal/lifecycle/endpoints.go
@@ -24,16 +24,17 @@
 // discovery. Either source starts from the list that chooseFirstList returns.
 func (p *process) newEndpointSource(cfg *core.Config) {
 	p.openStore()
-	known, listDiscovery := p.chooseFirstList()
+	first := p.chooseFirstList()
 	cfg.PolledSource = platform.Source
 	if p.store != nil {
 		cfg.OnCheckpoint = p.store.SetCheckpoint
 	}
 	if p.Distribution.Takes(config.ResourceEndpoints) {
-		p.relayedList = platform.NewRelayedList(known)
+		p.relayedList = platform.NewRelayedList(first.List)
 		return
 	}
-	if listDiscovery != p.Platform.Discovery {
+	known := first.List
+	if first.service != p.Platform.Discovery {
 		known = platform.List{} // versions of another service do not compare: poll the complete list
 	}
 	p.discovery = platform.NewDiscovery(p.Platform.Discovery, known)
@@ -51,6 +52,10 @@
 	if p.discovery != nil {
 		p.discovery.Listed, p.discovery.Clock = update, p.clock
 		p.discovery.Leased = func(expires time.Duration) { p.coordinator.SetListExpiry(platform.Source, expires) }
+		if p.listExchange != nil {
+			p.discovery.RecordChanged = p.listExchange.Changed
+			go p.listExchange.Run(ctx, p.discovery)
+		}
 		go p.discovery.Run(ctx)
 	}
 	if p.relayedList != nil {
--- a/internal/lifecycle/inherited_list.go
+++ b/internal/lifecycle/inherited_list.go
@@ -2,46 +2,89 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"log/slog"
 
-	"harepass/internal/core"
 	"harepass/internal/logmsg"
 	"harepass/internal/platform"
 )
 
-// chooseFirstList returns the endpoint list that the process starts with, and the address of the discovery service that
-// it came from. It prefers the list that another process stored, because that one can have changes made after the
-// platform's file was written. It returns the configuration's list if no list is stored, if the stored one cannot be
-// read, or if both come from the same discovery service and the configuration's version is later. Versions of two
-// discovery services cannot be compared. If it returns the stored list, that list also replaces KnownEndpoints.
-func (p *process) chooseFirstList() (list platform.List, discovery string) {
-	configured := p.Platform.KnownList
+// firstList is the endpoint list that a process starts with.
+type firstList struct {
+	platform.List
+	service string // address of the discovery service that the list came from
+}
+
+// chooseFirstList returns the endpoint list that the process starts with. It prefers the list that another process
+// stored, because that one can have changes made after the platform's file was written. It returns the configuration's
+// list if no list is stored, if the stored one cannot be read, or if both come from the same discovery service and the
+// configuration's version is later. Versions of two discovery services cannot be compared. If it returns the stored
+// list, that list also replaces KnownEndpoints.
+func (p *process) chooseFirstList() firstList {
+	configured := firstList{List: p.Platform.KnownList, service: p.Platform.Discovery}
 	if p.store == nil {
-		return configured, p.Platform.Discovery
+		return configured
 	}
-	data, discovery := p.store.InheritedList()
-	if len(data) == 0 {
-		return configured, p.Platform.Discovery
+	first := p.storedList()
+	if record, complete, ok := p.latestRecord(); ok {
+		first = inherit(record, complete, first, configured)
+	}
+	if first.service == "" {
+		return configured
+	}
+	if first.service == configured.service && configured.Index > first.Index {
+		slog.Info("stored endpoint list outdated", "version", first.Index, "configured_version", configured.Index)
+		return configured
 	}
-	stored, endpoints, err := readStoredList(data)
+	endpoints, err := first.CoreEndpoints()
 	if err != nil {
 		slog.Warn("stored endpoint list rejected", logmsg.KeyError, err)
-		return configured, p.Platform.Discovery
-	}
-	if discovery == p.Platform.Discovery && configured.Index > stored.Index {
-		slog.Info("stored endpoint list outdated", "version", stored.Index, "configured_version", configured.Index)
-		return configured, discovery
+		return configured
 	}
 	p.KnownEndpoints = endpoints
-	slog.Info(logmsg.EndpointListTakenOver, "endpoints", len(endpoints), "version", stored.Index)
-	return stored, discovery
+	slog.Info(logmsg.EndpointListTakenOver, "endpoints", len(endpoints), "version", first.Index)
+	return first
 }
 
-// readStoredList decodes an endpoint list from a state file, both in discovery's form and as the core's endpoints.
-func readStoredList(data []byte) (platform.List, []core.Endpoint, error) {
-	var list platform.List
-	err := json.Unmarshal(data, &list)
-	endpoints, invalid := list.CoreEndpoints()
-	return list, endpoints, errors.Join(err, invalid)
+// storedList returns the list that other processes stored last. The service is empty if there is none that can be used.
+func (p *process) storedList() (stored firstList) {
+	data, service := p.store.InheritedList()
+	if len(data) == 0 {
+		return firstList{}
+	}
+	if err := json.Unmarshal(data, &stored.List); err != nil {
+		slog.Warn("stored endpoint list rejected", logmsg.KeyError, err)
+		return firstList{}
+	}
+	stored.service = service
+	return stored
+}
+
+// latestRecord returns the latest record of another process, and a function that returns that process's complete list.
+func (p *process) latestRecord() (platform.ListRecord, platform.CompleteList, bool) {
+	if p.listExchange == nil {
+		return platform.ListRecord{}, nil, false
+	}
+	return p.listExchange.Latest(p.Platform.Discovery)
+}
+
+// inherit returns the list of a record's version, from the writer's complete list or another one that lacks only
+// changes that the record holds. If there is none, it returns the latest one.
+func inherit(record platform.ListRecord, complete platform.CompleteList, stored, configured firstList) firstList {
+	service, written, _ := complete()
+	latest := firstList{}
+	for _, base := range []firstList{{List: written, service: service}, stored, configured} {
+		if base.service != record.Service {
+			continue
+		}
+		if list, ok := record.Complete(base.List); ok {
+			return firstList{List: list, service: record.Service}
+		}
+		if latest.service == "" || base.Index > latest.Index {
+			latest = base
+		}
+	}
+	if latest.service == "" {
+		return stored
+	}
+	return latest
 }
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -9,6 +9,7 @@
 
 	"harepass/internal/config"
 	"harepass/internal/core"
+	"harepass/internal/listexchange"
 	"harepass/internal/loadshed"
 	"harepass/internal/logmsg"
 	"harepass/internal/opensearch"
@@ -36,6 +37,9 @@
 	relayedList     *platform.RelayedList // nil if no relay distributes the endpoint list
 	relayedSettings relayedSettings       // state of the settings that relays distribute
 	store           *operator.Store       // stored state and maintenance; nil if there is no admin endpoint
+	// listExchange exchanges what is known of discovery's list with the coordinator's other processes; nil if nothing is
+	// shared with them, or if relays distribute the list.
+	listExchange *listexchange.Exchange
 }
 
 // RunCoordinator runs a coordinator with a configuration until a signal to end arrives, and then drains it. version is
--- a/internal/lifecycle/stored_state.go
+++ b/internal/lifecycle/stored_state.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"time"
 
+	"harepass/internal/config"
+	"harepass/internal/listexchange"
 	"harepass/internal/logmsg"
 	"harepass/internal/operator"
 )
@@ -46,6 +48,20 @@
 		slog.Error("operator calls not persisted", logmsg.KeyError, err)
 	}
 	p.store = operator.NewStore(p.Platform.Name, files, p.clock)
+	if files != nil && !p.Distribution.Takes(config.ResourceEndpoints) {
+		p.openListExchange(files)
+	}
+}
+
+// openListExchange opens the exchange of list records beside the state files. Without the machine's clock, processes
+// start with the stored list as if discovery had just confirmed it.
+func (p *process) openListExchange(files *operator.StateDir) {
+	clock, err := listexchange.MachineClock()
+	if err != nil {
+		slog.Error("endpoint list not shared with other processes", logmsg.KeyError, err)
+		return
+	}
+	p.listExchange = listexchange.Open(files.OwnPath(), p.Platform.Name, p.clock, clock)
 }
 
 // openStateFolder opens the folder for state files. An error is ErrNoStateFolder or comes from the operating system.
--- a/internal/operator/state_dir.go
+++ b/internal/operator/state_dir.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// stateFileSuffix is the suffix of a state file's name.
-	stateFileSuffix = ".state"
+	// StateFileSuffix is the suffix of a state file's name.
+	StateFileSuffix = ".state"
 	// writingSuffix is appended to the name of a state file while it is written.
 	writingSuffix = ".new"
 	// maxOldStateFiles is how many state files of other processes Prune keeps, the latest ones.
@@ -48,11 +48,14 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
-	own := fmt.Sprintf("%016x-%d%s", started.UnixNano(), os.Getpid(), stateFileSuffix)
+	own := fmt.Sprintf("%016x-%d%s", started.UnixNano(), os.Getpid(), StateFileSuffix)
 	return &StateDir{dir: dir, own: own, lastRead: map[string]fs.FileInfo{}, unread: map[string]fs.FileInfo{},
 		out: map[string][]string{}, readFile: inputfile.Read}, nil
 }
 
+// OwnPath returns the path of this process's state file.
+func (d *StateDir) OwnPath() string { return filepath.Join(d.dir, d.own) }
+
 // ownPartial returns the name of this process's state file while it is written.
 func (d *StateDir) ownPartial() string { return d.own + writingSuffix }
 
@@ -75,7 +78,7 @@
 		os.Remove(partial) // a full disk leaves an incomplete file
 		return leftOut, err
 	}
-	return leftOut, os.Rename(partial, filepath.Join(d.dir, d.own))
+	return leftOut, os.Rename(partial, d.OwnPath())
 }
 
 // encodeWithinLimit encodes a state file without the parts that do not fit into the limit, which leftOut names.
@@ -96,7 +99,7 @@
 // processes' starts. It logs a file with unusable contents and ignores it until it changes. It also logs a file that
 // the file system fails to read, but tries to read that one again at the next call.
 func (d *StateDir) ReadChanged() (list []StateFile) {
-	paths, err := filepath.Glob(filepath.Join(d.dir, "*"+stateFileSuffix))
+	paths, err := filepath.Glob(filepath.Join(d.dir, "*"+StateFileSuffix))
 	if err != nil {
 		return nil
 	}
@@ -169,9 +172,9 @@
 	var others []string // names in order of the processes' starts
 	for _, e := range entries {
 		switch name := e.Name(); {
-		case strings.HasSuffix(name, stateFileSuffix) && name != d.own:
+		case strings.HasSuffix(name, StateFileSuffix) && name != d.own:
 			others = append(others, name)
-		case strings.HasSuffix(name, stateFileSuffix+writingSuffix) && name != d.ownPartial():
+		case strings.HasSuffix(name, StateFileSuffix+writingSuffix) && name != d.ownPartial():
 			if info, err := e.Info(); err == nil && time.Since(info.ModTime()) > partialLifetime {
 				d.remove(name)
 			}
--- a/internal/operator/state_file_test.go
+++ b/internal/operator/state_file_test.go
@@ -88,7 +88,7 @@
 		t.Fatal(err)
 	}
 	reader := openDir(t, dir)
-	reader.own = "reader" + stateFileSuffix
+	reader.own = "reader" + StateFileSuffix
 	reader.readFile = func(path string) ([]byte, error) {
 		return nil, &fs.PathError{Op: "read", Path: path, Err: syscall.EIO}
 	}
@@ -118,10 +118,10 @@
 	if _, err := other.Write(StateFile{Name: "n1"}); err != nil {
 		t.Fatal(err)
 	}
-	if err := syscall.Mkfifo(filepath.Join(dir, "fifo"+stateFileSuffix), 0o600); err != nil {
+	if err := syscall.Mkfifo(filepath.Join(dir, "fifo"+StateFileSuffix), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if err := os.Mkdir(filepath.Join(dir, "folder"+stateFileSuffix), 0o700); err != nil {
+	if err := os.Mkdir(filepath.Join(dir, "folder"+StateFileSuffix), 0o700); err != nil {
 		t.Fatal(err)
 	}
 	read := make(chan []StateFile, 1)
--- /dev/null
+++ b/internal/platform/adopted_list.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"harepass/internal/counters"
+	"harepass/internal/decide/listversion"
+	"harepass/internal/logmsg"
+)
+
+// The processes of a coordinator count as one: a change of the list that discovery has told to one of them is known to
+// all. Each process therefore keeps a ListRecord for the
+// others, and adopts what is newer in theirs. A process does so while it waits for an answer of discovery, too. The
+// call that it waits for goes on, since a new one may have to wait for its turn.
+
+// listsAdopted counts the versions of the list that came from another process. Its name must not change, because the
+// admin endpoint shows it.
+var listsAdopted = counters.New("lists", "from_process")
+
+// CompleteList returns the complete list that another process has stored, and the address of the discovery service that
+// it came from. ok is false if there is none.
+type CompleteList func() (service string, list List, ok bool)
+
+// peerRecord is a call of Adopt.
+type peerRecord struct {
+	record   ListRecord
+	complete CompleteList
+	adopted  chan<- bool
+}
+
+// Record returns what this process knows of the list. ok is false if it has no list.
+func (d *Discovery) Record() (r ListRecord, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := d.version
+	r = ListRecord{Service: v.Service, Index: v.Index, Numbering: d.numbering, ConfirmedAt: v.ConfirmedAt,
+		HeardAt: v.HeardAt, Base: d.log.base, Changes: d.log.all()}
+	return r, v.Index != unknownIndex
+}
+
+// Adopt takes over what is newer in the record of another process of the coordinator. complete is called if the record
+// does not hold all changes since this process's version. Adopt returns false if the record is newer but could not be
+// taken over, because complete returned no list or one that is too old; the coordinator stops using its list then, and
+// Adopt should be called again with the record. Adopt waits until Run has begun. It returns true if ctx ends.
+func (d *Discovery) Adopt(ctx context.Context, r ListRecord, complete CompleteList) (adopted bool) {
+	done := make(chan bool, 1)
+	select {
+	case d.records <- peerRecord{r, complete, done}:
+		return <-done
+	case <-ctx.Done():
+		return true
+	}
+}
+
+// adoptRecords serves Adopt until ctx ends.
+func (d *Discovery) adoptRecords(ctx context.Context) {
+	for {
+		select {
+		case p := <-d.records:
+			p.adopted <- d.adopt(p.record, p.complete)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// adopt implements Adopt. A record of another service than the one that this process polls is ignored, and so is one
+// whose list discovery has not told to that process.
+func (d *Discovery) adopt(r ListRecord, complete CompleteList) (adopted bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r.Service != d.address || r.ConfirmedAt == listversion.NotConfirmed {
+		return true
+	}
+	if d.version.Service != r.Service || r.Version().Supersedes(d.version) {
+		if !d.adoptVersion(r, complete) {
+			d.lease.Outdated(r.HeardAt)
+			d.reportLease()
+			return false
+		}
+	}
+	return true
+}
+
+// adoptVersion takes over the record's version of the list, and reports whether it could.
+func (d *Discovery) adoptVersion(r ListRecord, complete CompleteList) bool {
+	changes, ok := List{}, false
+	if d.version.Service == r.Service && d.numbering == r.Numbering {
+		changes, ok = r.ChangesAfter(d.version.Index)
+	}
+	if !ok {
+		changes, ok = d.completeVersion(r, complete)
+	}
+	if !ok {
+		return false
+	}
+	endpoints, err := changes.CoreEndpoints()
+	if err != nil {
+		slog.Warn("endpoint list of another process rejected", logmsg.KeyError, err)
+		return false
+	}
+	slog.Info(logmsg.EndpointListTakenOver, logmsg.KeySource, "another process", "version", r.Index, "from_version",
+		d.version.Index, "endpoints", len(endpoints), "complete", changes.Snapshot,
+		logmsg.KeyAge, (d.Clock() - r.HeardAt).Round(time.Millisecond))
+	listsAdopted.Inc()
+	d.version, d.index, d.numbering = r.Version(), r.Index, r.Numbering
+	d.adoptions++
+	d.lease.Confirmed(r.ConfirmedAt)
+	d.logChange(changes)
+	if d.copy != nil {
+		d.copy.Merge(r.Service, changes)
+		d.changed()
+	}
+	d.Listed(updateKind(changes), endpoints)
+	d.reportLease()
+	return true
+}
+
+// completeVersion returns the complete list of the record's version.
+func (d *Discovery) completeVersion(r ListRecord, complete CompleteList) (list List, ok bool) {
+	service, stored, ok := complete()
+	if !ok || service != r.Service {
+		return List{}, false
+	}
+	return r.Complete(stored)
+}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -5,12 +5,14 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"harepass/internal/core"
 	"harepass/internal/decide/backoff"
 	"harepass/internal/decide/lease"
+	"harepass/internal/decide/listversion"
 	"harepass/internal/decide/scatter"
 	"harepass/internal/http1"
 )
@@ -32,17 +34,29 @@
 	Grace time.Duration
 	// Schedule decides when discovery is polled. NewDiscovery sets the schedule of a fleet of one coordinator.
 	Schedule *backoff.Schedule
+	// RecordChanged is called after each change of what Record returns, except for changes of the time-out of calls. It
+	// must not block or call methods of the Discovery. It may be nil.
+	RecordChanged func()
 
-	address    string    // of the service; only Run changes it
-	index      int64     // version of the coordinator's list, or unknownIndex; only Run changes it
-	known      List      // list that the coordinator started with; empty once Run has begun
-	copy       *ListCopy // for a process that takes over; nil if none is kept
-	changed    func()    // called after copy has changed
+	known      List   // list that the coordinator started with; empty once Run has begun
+	changed    func() // called after copy has changed
 	subscribe  chan struct{}
-	newAddress chan string // the latest address that Run has not received
+	newAddress chan string     // the latest address that Run has not received
+	records    chan peerRecord // records that Adopt passes to Run
 	tuning     atomic.Pointer[Tuning]
 	outage     outage
-	lease      lease.Lease
+
+	mu      sync.Mutex // guards the fields below, and the order in which updates and expiries are passed on
+	address string     // of the service; only Run changes it
+	index   int64      // version to poll changes from, or unknownIndex
+	copy    *ListCopy  // for a process that takes over; nil if none is kept
+	lease   lease.Lease
+	// version is that of the coordinator's list, which is also known while index is not. Its index is unknownIndex if
+	// the coordinator has no list.
+	version   listversion.Known
+	numbering int64     // see ListRecord
+	log       changeLog // changes up to version
+	adoptions int       // how many versions were adopted from other processes
 }
 
 // NewDiscovery returns a Discovery for the service at an address; Listed must be set before Run. The known list is the
@@ -56,9 +70,12 @@
 		known:      known,
 		subscribe:  make(chan struct{}, 1),
 		newAddress: make(chan string, 1),
+		records:    make(chan peerRecord),
+		version:    listversion.Known{Service: address, Index: unknownIndex, ConfirmedAt: listversion.NotConfirmed},
 	}
 	if len(known.Endpoints) > 0 {
-		d.index = known.Index
+		d.index, d.version.Index = known.Index, known.Index
+		d.log.reset(known.Index)
 	}
 	return d
 }
@@ -85,6 +102,8 @@
 func (d *Discovery) applyTuning() {
 	if t := d.tuning.Swap(nil); t != nil {
 		d.Schedule.FleetSize, d.Schedule.ListMaxAge = t.Fleet, t.ListMaxAge
+		d.mu.Lock()
+		defer d.mu.Unlock()
 		d.lease.SetGrace(t.Grace)
 	}
 }
@@ -121,36 +140,50 @@
 // numbers its versions by an index of its own.
 func (d *Discovery) Run(ctx context.Context) {
 	d.known, d.outage.answered = List{}, time.Now()
-	d.lease = lease.New(d.Clock(), d.Schedule.ListMaxAge, d.Grace)
-	d.reportLease()
+	d.beginLease()
+	go d.adoptRecords(ctx)
 	delay, running := d.awaitSubscribe(ctx)
 	for running && d.wait(ctx, delay) {
-		var moved bool
-		var failure *pollFailure
-		moved, failure = d.serveSubscription(ctx)
+		newAddress, failure := d.serveSubscription(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
-		case moved:
-			d.serviceChanged()
-			delay = d.Schedule.FirstDelayAtNewService(d.lease.Expires() - d.Clock())
+		case newAddress != "":
+			d.serviceChanged(newAddress)
+			delay = d.Schedule.FirstDelayAtNewService(d.expiresIn())
 		default:
 			delay = d.recordFailure(failure)
-			d.outage.failed(failure, d.index, delay, d.lease.Expires()-d.Clock())
 		}
 	}
 }
 
+// beginLease begins the lease of the list that the coordinator starts with.
+func (d *Discovery) beginLease() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock()
+	d.version.HeardAt = now
+	d.lease = lease.New(now, d.Schedule.ListMaxAge, d.Grace)
+	d.reportLease()
+}
+
+// expiresIn returns the time until the list expires.
+func (d *Discovery) expiresIn() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lease.Expires() - d.Clock()
+}
+
 // awaitSubscribe waits for the first Subscribe or for a new address, and returns the delay before the first call.
 // running is false if ctx has ended.
 func (d *Discovery) awaitSubscribe(ctx context.Context) (delay time.Duration, running bool) {
 	select {
 	case <-d.subscribe:
-		if d.index != unknownIndex {
+		if d.knowsIndex() {
 			delay = d.Schedule.FirstDelay()
 		}
-	case d.address = <-d.newAddress:
-		d.serviceChanged()
+	case address := <-d.newAddress:
+		d.serviceChanged(address)
 	case <-ctx.Done():
 		return 0, false
 	}
@@ -162,8 +195,8 @@
 func (d *Discovery) wait(ctx context.Context, delay time.Duration) (running bool) {
 	select {
 	case <-time.After(delay):
-	case d.address = <-d.newAddress:
-		d.serviceChanged()
+	case address := <-d.newAddress:
+		d.serviceChanged(address)
 	case <-ctx.Done():
 		return false
 	}
@@ -172,6 +205,23 @@
 
 // recordFailure records the failure that ended a subscription and returns the delay before the next one.
 func (d *Discovery) recordFailure(f *pollFailure) (delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recordEvidence(f)
+	d.reportLease()
+	expiresIn := d.lease.Expires() - d.Clock()
+	if f.watch {
+		delay = d.Schedule.WatchLostDelay()
+	} else {
+		d.Listed(scatter.FailedUpdate, nil)
+		delay = d.Schedule.FailedBeforeExpiry(f.took, expiresIn)
+	}
+	d.outage.failed(f, d.index, delay, expiresIn)
+	return delay
+}
+
+// recordEvidence changes the lease by what a failed call proves.
+func (d *Discovery) recordEvidence(f *pollFailure) {
 	switch e := f.evidence(); {
 	case e == provesUnreachable:
 		d.lease.Unreachable(f.began)
@@ -182,25 +232,32 @@
 	case !f.watch:
 		d.lease.Unanswered()
 	}
-	d.reportLease()
-	if f.watch {
-		return d.Schedule.WatchLostDelay()
-	}
-	d.Listed(scatter.FailedUpdate, nil)
-	return d.Schedule.FailedBeforeExpiry(f.took, d.lease.Expires()-d.Clock())
 }
 
-// reportLease tells the coordinator when its list expires. A list that the coordinator's own agent serves has no lease:
-// a change that the agent has not learned does not count as notified.
+// reportLease tells the coordinator when its list expires, and other processes what has changed. A list that the
+// coordinator's own agent serves has no lease: a change that the agent has not learned does not count as notified. The
+// caller holds mu.
 func (d *Discovery) reportLease() {
 	if d.Leased != nil && !d.Schedule.UsesAgent {
 		d.Leased(d.lease.Expires())
 	}
+	if d.RecordChanged != nil {
+		d.RecordChanged()
+	}
+}
+
+// knowsIndex reports whether a version is known to poll changes from.
+func (d *Discovery) knowsIndex() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.index != unknownIndex
 }
 
-// serviceChanged resets the known version, the schedule and the lease for the service at a new address.
-func (d *Discovery) serviceChanged() {
-	d.index = unknownIndex
+// serviceChanged sets the address of the service, and resets the known version, the schedule and the lease for it.
+func (d *Discovery) serviceChanged(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.address, d.index, d.numbering = address, unknownIndex, 0
 	d.Schedule.ServiceChanged()
 	d.lease.ServiceChanged(d.Clock())
 	d.reportLease()
--- a/internal/platform/subscription.go
+++ b/internal/platform/subscription.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"harepass/internal/core"
+	"harepass/internal/decide/listversion"
 	"harepass/internal/decide/scatter"
 	"harepass/internal/http1"
 	"harepass/internal/logmsg"
@@ -26,8 +27,20 @@
 	pollHold = time.Millisecond
 )
 
-// serveSubscription serves one subscription on its own connection until a call fails or the address changes.
-func (d *Discovery) serveSubscription(ctx context.Context) (moved bool, failure *pollFailure) {
+// pollCall is one call to discovery.
+type pollCall struct {
+	watch     bool          // discovery may hold the call until there is a change
+	target    string        // path and query
+	timeout   time.Duration // for the answer
+	hold      time.Duration // how long discovery may hold a watch
+	from      int64         // version that the call names, or unknownIndex
+	adoptions int           // Discovery.adoptions when the call began
+	began     time.Duration
+}
+
+// serveSubscription serves one subscription on its own connection until a call fails or the address changes. It returns
+// the new address, or "" if the address has not changed.
+func (d *Discovery) serveSubscription(ctx context.Context) (newAddress string, failure *pollFailure) {
 	ctx, cancel := context.WithCancel(ctx)
 	limits := http1.Limits{Head: maxListHead, Body: maxListBody, Fields: http1.NoFields}
 	client := &http1.Client{Address: d.address, Dial: d.Dial, Limits: limits}
@@ -44,12 +57,8 @@
 	failure = d.poll(ctx, client)
 	client.Close()
 	cancel()
-	// d.address changes only now, because all answers that poll has applied came from the old address.
-	if address, moved := <-next; moved {
-		d.address = address
-		return true, failure
-	}
-	return false, failure
+	// The caller changes d.address only now, because all answers that poll has applied came from the old address.
+	return <-next, failure
 }
 
 // poll requests the list and then its changes until a call fails. An unusable answer is not applied, and the next call
@@ -57,27 +66,16 @@
 func (d *Discovery) poll(ctx context.Context, client *http1.Client) *pollFailure {
 	for watch := false; ; watch = true {
 		d.applyTuning()
-		target, timeout, hold := d.nextCall(watch)
-		began := d.Clock()
-		data, err := call(ctx, client, target, timeout)
-		took := d.Clock() - began
+		c := d.nextCall(watch)
+		data, err := call(ctx, client, c.target, c.timeout)
+		took := d.Clock() - c.began
 		if err != nil {
-			return &pollFailure{watch: watch, began: began, took: took, err: err}
+			return &pollFailure{watch: watch, began: c.began, took: took, err: err}
 		}
-		list, endpoints, err := d.read(data)
+		changed, err := d.takeOver(c, data)
 		if err != nil {
-			d.index = unknownIndex
-			return &pollFailure{began: began, err: err}
+			return &pollFailure{began: c.began, err: err}
 		}
-		d.Schedule.Succeeded()
-		d.outage.answeredWith(list.Index)
-		changed := list.Index != d.index || list.Snapshot
-		d.takeOver(list, endpoints, changed, watch)
-		if watch && !changed && took >= hold { // the list was still the latest one at the end of the hold
-			began += hold
-		}
-		d.lease.Confirmed(began)
-		d.reportLease()
 		if watch && !changed {
 			if err := pause(ctx, d.Schedule.RenewDelay(took)); err != nil {
 				return &pollFailure{watch: watch, began: d.Clock(), err: err}
@@ -86,51 +84,112 @@
 	}
 }
 
-// nextCall returns the target and the time-out of the next call, and how long discovery may hold a watch. Renewing a
-// watch in time costs discovery no queued call. The first call of a subscription is answered at once, with or without
-// changes.
-func (d *Discovery) nextCall(watch bool) (target string, timeout, hold time.Duration) {
+// nextCall returns the next call. Renewing a watch in time costs discovery no queued call. The first call of a
+// subscription is answered at once, with or without changes.
+func (d *Discovery) nextCall(watch bool) pollCall {
 	hold, silence := d.Schedule.WatchTimeouts()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := pollCall{watch: watch, hold: hold, from: d.index, adoptions: d.adoptions, began: d.Clock()}
 	switch {
-	case d.index == unknownIndex:
-		return instancesPath, d.Schedule.AnswerTimeout(), hold
+	case c.from == unknownIndex:
+		c.target, c.timeout = instancesPath, d.Schedule.AnswerTimeout()
 	case watch:
-		return d.changesSince(hold), hold + silence, hold
+		c.target, c.timeout = changesSince(c.from, hold), hold+silence
 	default:
-		return d.changesSince(pollHold), d.Schedule.AnswerTimeout(), hold
+		c.target, c.timeout = changesSince(c.from, pollHold), d.Schedule.AnswerTimeout()
 	}
+	return c
 }
 
-// changesSince returns the target of a call for the changes since the coordinator's version. Discovery may hold the
-// call for a time while there are none.
-func (d *Discovery) changesSince(hold time.Duration) string {
-	return fmt.Sprintf("%s?from=%d&hold_ms=%d", instancesPath, d.index, hold.Milliseconds())
+// changesSince returns the target of a call for the changes since a version. Discovery may hold the call for a time
+// while there are none.
+func changesSince(version int64, hold time.Duration) string {
+	return fmt.Sprintf("%s?from=%d&hold_ms=%d", instancesPath, version, hold.Milliseconds())
 }
 
-// takeOver applies an answer and passes it to the coordinator. It does not pass on a watch without changes: the first
-// answer of the subscription has already shown the coordinator that it receives changes.
-func (d *Discovery) takeOver(list List, endpoints []core.Endpoint, changed, watch bool) {
-	kind := scatter.IncrementalUpdate
-	if list.Snapshot {
-		kind = scatter.FullUpdate
+// takeOver applies the answer to a call and passes it to the coordinator, unless it cannot be used. It does not pass on
+// a watch without changes: the first answer of the subscription has already shown the coordinator that it receives
+// changes. changed reports whether the answer has changed the list.
+func (d *Discovery) takeOver(c pollCall, data []byte) (changed bool, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list, endpoints, err := d.read(c, data)
+	if err != nil {
+		d.index = unknownIndex
+		return false, err
+	}
+	d.Schedule.Succeeded()
+	d.outage.answeredWith(list.Index)
+	if d.isOvertaken(c, list) {
+		if !c.watch {
+			d.Listed(scatter.IncrementalUpdate, nil)
+		}
+		return false, nil
+	}
+	changed = list.Index != d.index || list.Snapshot
+	d.apply(c, list, changed)
+	if changed || !c.watch {
+		d.Listed(updateKind(list), endpoints)
+	}
+	d.reportLease()
+	return changed, nil
+}
+
+// isOvertaken reports whether an answer is older than a version that was adopted from another process while discovery
+// held the call.
+func (d *Discovery) isOvertaken(c pollCall, list List) bool {
+	return d.adoptions != c.adoptions && list.Index < d.index
+}
+
+// apply records the list, or the changes, of an answer, and that they were the latest ones.
+func (d *Discovery) apply(c pollCall, list List, changed bool) {
+	now := d.Clock()
+	confirmed := c.began
+	if c.watch && list.Index == c.from && !list.Snapshot && now-c.began >= c.hold {
+		confirmed += c.hold // the list was still the latest one at the end of the hold
+	}
+	d.lease.Confirmed(confirmed)
+	if !changed {
+		d.version.ConfirmedAt, d.version.HeardAt = max(d.version.ConfirmedAt, confirmed), now
+		return
+	}
+	if list.Index < d.version.Index && d.version.Service == d.address {
+		d.numbering = int64(now)
 	}
 	d.index = list.Index
-	if d.copy != nil && changed {
+	d.version = listversion.Known{Service: d.address, Index: list.Index, ConfirmedAt: confirmed, HeardAt: now}
+	d.logChange(list)
+	if d.copy != nil {
 		d.copy.Merge(d.address, list)
 		d.changed()
 	}
-	if changed || !watch {
-		d.Listed(kind, endpoints)
+}
+
+// logChange adds an answer to the log of changes. A complete list begins a new log.
+func (d *Discovery) logChange(list List) {
+	if list.Snapshot {
+		d.log.reset(list.Index)
+	} else {
+		d.log.add(list)
+	}
+}
+
+// updateKind returns the kind of update that an answer is to the coordinator.
+func updateKind(list List) scatter.UpdateKind {
+	if list.Snapshot {
+		return scatter.FullUpdate
 	}
+	return scatter.IncrementalUpdate
 }
 
 // read parses and checks an answer before any of it is applied.
-func (d *Discovery) read(data []byte) (list List, endpoints []core.Endpoint, err error) {
+func (d *Discovery) read(c pollCall, data []byte) (list List, endpoints []core.Endpoint, err error) {
 	if err = json.Unmarshal(data, &list); err != nil {
 		return list, nil, fmt.Errorf("%w: %w", errUnreadableList, err)
 	}
-	if !list.Snapshot && list.Index < d.index {
-		return list, nil, fmt.Errorf("%w: known version %d, received %d", errOutdatedList, d.index, list.Index)
+	if !list.Snapshot && list.Index < c.from {
+		return list, nil, fmt.Errorf("%w: known version %d, received %d", errOutdatedList, c.from, list.Index)
 	}
 	endpoints, err = list.CoreEndpoints()
 	return list, endpoints, err
--- a/internal/test/faultinjection/host.go
+++ b/internal/test/faultinjection/host.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -27,6 +28,7 @@
 	Replicas         int           // how many; they are assigned to the three ring positions in turn
 	ServiceTime      time.Duration // of a part at a replica
 	MaintenanceGrace time.Duration // how long parts may still be sent to a replica after its maintenance was confirmed
+	DiscoveryHandler http.Handler  // nil for a discovery that lists every replica as in service at all times
 }
 
 // Host plays the platform's role for one coordinator: it holds the client socket, starts processes that take over from
@@ -76,6 +78,9 @@
 		h.Replicas = append(h.Replicas, r)
 	}
 	serveDiscovery := func(l net.Listener) { fake.ServeDiscovery(l, h.endpointList) }
+	if c.DiscoveryHandler != nil {
+		serveDiscovery = func(l net.Listener) { http.Serve(l, c.DiscoveryHandler) }
+	}
 	h.Discovery, err = h.listeners.serveBehindLink(NewLink, serveDiscovery)
 	if err == nil {
 		err = h.Configure(c.Settings)
@@ -132,21 +137,26 @@
 func (h *Host) endpointList() string {
 	h.ListsServed.Add(1)
 	list := fake.EndpointList{Index: 1, Snapshot: true, Endpoints: []fake.Endpoint{}}
-	for i, r := range h.Replicas {
-		list.Endpoints = append(list.Endpoints, fake.Endpoint{
-			Name:    fmt.Sprint("f", i),
-			Address: r.Link.Address(),
-			Zone:    "z",
-			Type:    "m",
-			Group:   i % hostRingSize,
-			Status:  fake.StatusInService,
-			Weight:  1,
-		})
+	for i := range h.Replicas {
+		list.Endpoints = append(list.Endpoints, h.Endpoint(i, fake.StatusInService))
 	}
 	data, _ := json.Marshal(list)
 	return string(data)
 }
 
+// Endpoint returns discovery's entry for a replica.
+func (h *Host) Endpoint(replica int, status string) fake.Endpoint {
+	return fake.Endpoint{
+		Name:    fmt.Sprint("f", replica),
+		Address: h.Replicas[replica].Link.Address(),
+		Zone:    "z",
+		Type:    "m",
+		Group:   replica % hostRingSize,
+		Status:  status,
+		Weight:  1,
+	}
+}
+
 // Start starts a process with its own admin endpoint, the client socket as descriptor 4, and additional environment
 // variables.
 func (h *Host) Start(env ...string) (*Process, error) {
