List: a list keeps its age when another process of the coordinator takes it over

Callers saw: all watches were reset and discovery was crowded; a node drained. The old process rightly refused everything once its list had expired.

Cause: nothing said when discovery had last confirmed a stored list, and lease.New counted from the process's own start.

One that can read the record only after its start continues it then. While both run, a confirmation of one process's watch counts for the other: an honest age alone would cost the new process its service from 6.75 s on although nothing is stale. A process whose list has expired asks discovery at once, as one without a list does. A list of which no age is known, from the version before this one, is used as before, this once.

TestResumedLeaseIsNotProlongedByUpgrades: five upgrades beside a crowd add nothing.

--- a/cmd/harepass/shared_list_test.go
+++ b/cmd/harepass/shared_list_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"harepass/internal/decide/backoff"
 	"harepass/internal/test/fake"
 	"harepass/internal/test/faultinjection"
 )
@@ -236,3 +237,36 @@
 	r.drainTold(fake.StatusTerminating, readyAt)
 	time.Sleep(observedTime)
 }
+
+// A new process uses the list that it has taken over as if discovery had just confirmed it, although nobody could hear
+// of a drain for longer than the list may be used (review case 1, last paragraph).
+func TestInheritedListKeepsItsAge(t *testing.T) {
+	t.Parallel()
+	r := newUpgradeRun(t)
+	r.startReady()
+	defer r.check()
+	defer r.startLoad()()
+	time.Sleep(1500 * time.Millisecond)
+	r.discovery.setCrowded(true)
+	r.discovery.resetBefore(time.Now())
+	time.Sleep(500 * time.Millisecond)
+	r.discovery.setStatus("f0", fake.StatusTerminating)
+	r.bindAt(time.Now().Add(backoff.NotifiedAfter))
+	time.Sleep(backoff.NotifiedAfter + 2*time.Second)
+	r.startReady()
+	time.Sleep(4 * time.Second)
+}
+
+// The old process's watch goes on and confirms the list. A new process that counts only what discovery tells itself
+// refuses all queries although nothing is stale.
+func TestWatchOfOneProcessConfirmsListOfBoth(t *testing.T) {
+	t.Parallel()
+	r := newUpgradeRun(t)
+	_, stop := r.startOldBehindCrowd()
+	r.startReady()
+	time.Sleep(backoff.NotifiedAfter + 3*time.Second)
+	stop()
+	if len(r.statuses) != 1 || r.statuses[http.StatusOK] == 0 {
+		t.Errorf("answers by status %v while the old process's watch confirms the list, want only 200", r.statuses)
+	}
+}
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -10,6 +10,9 @@
 // exception: until a list is confirmed, a call that discovery rejected prolongs it in large fleets; see Lease.Rejected.
 // The caller decides what a failed call proves: package platform does so in pollFailure.evidence.
 //
+// The processes of a coordinator that run at the same time or one after the other have the list, and therefore its lease,
+// in common: State and Resume pass a lease on, so that a new process does not begin a new one.
+//
 // # Contract
 //
 // A Lease is for one endpoint list and for one goroutine at a time. It has no clock: instants are readings of the
@@ -45,6 +48,38 @@
 	return l
 }
 
+// State is a lease that another process of the coordinator continues. Its instants are readings of a clock that both
+// processes can read.
+type State struct {
+	CountsFrom    time.Duration `json:"counts_from"`
+	NotifiedAfter time.Duration `json:"notified_after"`
+	Expires       time.Duration `json:"expires"`
+	Confirmed     bool          `json:"confirmed"`
+	WaitsFrom     time.Duration `json:"waits_from"`
+}
+
+// Shifted returns the state with its instants moved by a duration, for a clock that differs by it.
+func (s State) Shifted(by time.Duration) State {
+	s.CountsFrom += by
+	s.Expires += by
+	s.WaitsFrom += by
+	return s
+}
+
+// State returns the lease for another process.
+func (l *Lease) State() State {
+	return State{CountsFrom: l.countsFrom, NotifiedAfter: l.notifiedAfter, Expires: l.expires, Confirmed: l.confirmed,
+		WaitsFrom: l.waitsFrom}
+}
+
+// Resume returns the lease of a process that starts with a list that another process of the coordinator has used. The
+// list gets neither a longer time than it had there nor a new wait for its first confirmation, however many processes
+// take it over from each other.
+func Resume(s State, drainGrace time.Duration) Lease {
+	return Lease{countsFrom: s.CountsFrom, notifiedAfter: s.NotifiedAfter, grace: usableGrace(drainGrace),
+		expires: s.Expires, confirmed: s.Confirmed, waitsFrom: s.WaitsFrom}
+}
+
 // stallReserve is the part of the drain grace in which no attempt may begin. The coordinator reads the clock before it
 // sends an attempt, so a process that is not scheduled between the two sends later than the lease allows. The reserve
 // covers such a stall.
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -159,6 +159,36 @@
 	})
 }
 
+// A crowd of 40 s rejects all calls of a fleet that discovery cannot answer in time, and five new versions take over the
+// list from each other, one every 3 s. If each of them began a lease of its own, the list would be used for as long as
+// the upgrades go on. It is not used longer than by a process that is not upgraded.
+func TestResumedLeaseIsNotProlongedByUpgrades(t *testing.T) {
+	const fleetWait = 10 * second
+	play := func(upgradeEvery time.Duration, begin func(l *Lease)) time.Duration {
+		l := New(0, listMaxAge, 0)
+		begin(&l)
+		for now := second; now < 40*second; now += second {
+			if upgradeEvery > 0 && now%upgradeEvery == 0 && now <= 5*upgradeEvery {
+				l = Resume(l.State().Shifted(second).Shifted(-second), 0)
+			}
+			if now < l.Expires() {
+				l.Rejected(now, fleetWait)
+			}
+		}
+		return l.Expires()
+	}
+	for name, begin := range map[string]func(l *Lease){
+		"never confirmed": func(*Lease) {},
+		"confirmed":       func(l *Lease) { l.Confirmed(second) },
+		"watch rejected":  func(l *Lease) { l.Confirmed(second); l.WatchRejected(2 * second) },
+		"service changed": func(l *Lease) { l.Confirmed(second); l.ServiceChanged(2 * second) },
+	} {
+		if got, want := play(3*second, begin), play(0, begin); got != want {
+			t.Errorf("%s: expires at %v after five upgrades, want %v as without", name, got, want)
+		}
+	}
+}
+
 // Another process has a change that this one cannot apply. Its list may be used for the grace from then on, whatever
 // calls find, until discovery confirms it.
 func TestOutdatedListIsUsedForTheGraceOnly(t *testing.T) {
--- a/internal/lifecycle/endpoints.go
+++ b/internal/lifecycle/endpoints.go
@@ -38,6 +38,7 @@
 		known = platform.List{} // versions of another service do not compare: poll the complete list
 	}
 	p.discovery = platform.NewDiscovery(p.Platform.Discovery, known)
+	p.discovery.Inherited = first.record
 	p.discovery.Schedule = &backoff.Schedule{FleetSize: p.Settings.Coordinators, ListMaxAge: p.Settings.ListMaxAge,
 		UsesAgent: p.ListPushed, Rand: rand.New(rand.NewPCG(p.Seed, pollScheduleStream))}
 	p.discovery.Grace = p.Settings.DrainGrace
--- a/internal/lifecycle/inherited_list.go
+++ b/internal/lifecycle/inherited_list.go
@@ -11,7 +11,8 @@
 // firstList is the endpoint list that a process starts with.
 type firstList struct {
 	platform.List
-	service string // address of the discovery service that the list came from
+	service string               // address of the discovery service that the list came from
+	record  *platform.ListRecord // of the process that the list is inherited from; nil if there is none
 }
 
 // chooseFirstList returns the endpoint list that the process starts with. It prefers the list that another process
@@ -68,7 +69,8 @@
 }
 
 // inherit returns the list of a record's version, from the writer's complete list or another one that lacks only
-// changes that the record holds. If there is none, it returns the latest one.
+// changes that the record holds. If there is none, it returns the latest one, which is outdated then. A list that is
+// later than the record's was stored by a version of the program that writes no records, and has none.
 func inherit(record platform.ListRecord, complete platform.CompleteList, stored, configured firstList) firstList {
 	service, written, _ := complete()
 	latest := firstList{}
@@ -77,7 +79,7 @@
 			continue
 		}
 		if list, ok := record.Complete(base.List); ok {
-			return firstList{List: list, service: record.Service}
+			return firstList{List: list, service: record.Service, record: &record}
 		}
 		if latest.service == "" || base.Index > latest.Index {
 			latest = base
@@ -86,5 +88,8 @@
 	if latest.service == "" {
 		return stored
 	}
+	if latest.Index <= record.Index {
+		latest.record = &record
+	}
 	return latest
 }
--- a/internal/listexchange/doc.go
+++ b/internal/listexchange/doc.go
@@ -1,8 +1,8 @@
 // Package listexchange passes on what the processes of a coordinator know of the endpoint list: each writes a record
 // (platform.ListRecord) into the folder that they share, and reads those of the others.
 //
-// The state files of package operator hold the complete list, which is long. A record has only the latest changes, so it
-// is short enough to be written after each of them.
+// The state files of package operator hold the complete list, which is long. A record has only the latest changes and
+// the instants at which discovery confirmed the list, so it is short enough to be written after each of them.
 //
 // # Contract
 //
--- a/internal/listexchange/earlier_version.go
+++ b/internal/listexchange/earlier_version.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"harepass/internal/decide/listversion"
 	"harepass/internal/logmsg"
 	"harepass/internal/operator"
 	"harepass/internal/platform"
@@ -48,5 +49,6 @@
 
 // recordOfStateFile returns a record for a list that was confirmed at an unknown time before heardAt.
 func recordOfStateFile(service string, index int64, heardAt time.Duration) platform.ListRecord {
-	return platform.ListRecord{Service: service, Index: index, Base: index, HeardAt: heardAt}
+	return platform.ListRecord{Service: service, Index: index, Base: index, HeardAt: heardAt,
+		UnreachableAt: listversion.NotConfirmed}
 }
--- a/internal/listexchange/exchange.go
+++ b/internal/listexchange/exchange.go
@@ -84,7 +84,7 @@
 		return next.HeardAt > r.HeardAt
 	}
 	if next.Index == r.Index {
-		return next.ConfirmedAt > r.ConfirmedAt
+		return next.Lease.CountsFrom > r.Lease.CountsFrom // the same list, confirmed later
 	}
 	return next.Version().Supersedes(r.Version())
 }
--- a/internal/listexchange/exchange_test.go
+++ b/internal/listexchange/exchange_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"harepass/internal/core"
+	"harepass/internal/decide/lease"
+	"harepass/internal/decide/listversion"
 	"harepass/internal/decide/maintenance"
 	"harepass/internal/operator"
 	"harepass/internal/platform"
@@ -80,8 +82,11 @@
 // tell sets the record to a version that discovery has told the process now.
 func (p *testProcess) tell(index int64) {
 	now := p.Clock()
+	l := lease.New(now, 0, time.Second)
+	state := l.State()
 	p.mu.Lock()
-	p.record = platform.ListRecord{Service: "d", Index: index, Base: index, ConfirmedAt: now, HeardAt: now}
+	p.record = platform.ListRecord{Service: "d", Index: index, Base: index, ConfirmedAt: now, HeardAt: now,
+		UnreachableAt: listversion.NotConfirmed, Lease: &state}
 	p.mu.Unlock()
 	p.Changed()
 }
@@ -193,6 +198,7 @@
 		"other-version": with(func(s *storedRecord) { s.Version++ }),
 		"other-name":    with(func(s *storedRecord) { s.Name = "n2" }),
 		"other-boot":    with(func(s *storedRecord) { s.Boot = "before" }),
+		"without-lease": with(func(s *storedRecord) { s.Record.Lease = nil }),
 	} {
 		if err := os.WriteFile(filepath.Join(folder, name+recordSuffix), data, 0o600); err != nil {
 			t.Fatal(err)
--- a/internal/listexchange/record.go
+++ b/internal/listexchange/record.go
@@ -36,6 +36,8 @@
 		return s, fmt.Errorf("%w: it is of the coordinator %q", errNotUsable, s.Name)
 	case s.Boot != x.Shared.Boot:
 		return s, fmt.Errorf("%w: it is from before the machine's last start", errNotUsable)
+	case s.Record.Lease == nil:
+		return s, fmt.Errorf("%w: it has no lease", errNotUsable)
 	}
 	return s, nil
 }
--- a/internal/platform/adopted_list.go
+++ b/internal/platform/adopted_list.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"harepass/internal/counters"
+	"harepass/internal/decide/lease"
 	"harepass/internal/decide/listversion"
 	"harepass/internal/logmsg"
 )
 
 // The processes of a coordinator count as one: a change of the list that discovery has told to one of them is known to
-// all. Each process therefore keeps a ListRecord for the
+// all, and so is discovery's word that a list is the latest one. Each process therefore keeps a ListRecord for the
 // others, and adopts what is newer in theirs. A process does so while it waits for an answer of discovery, too. The
 // call that it waits for goes on, since a new one may have to wait for its turn.
 
@@ -34,9 +35,9 @@
 func (d *Discovery) Record() (r ListRecord, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	v := d.version
+	v, lease := d.version, d.lease.State()
 	r = ListRecord{Service: v.Service, Index: v.Index, Numbering: d.numbering, ConfirmedAt: v.ConfirmedAt,
-		HeardAt: v.HeardAt, Base: d.log.base, Changes: d.log.all()}
+		HeardAt: v.HeardAt, UnreachableAt: d.unreachableAt, Lease: &lease, Base: d.log.base, Changes: d.log.all()}
 	return r, v.Index != unknownIndex
 }
 
@@ -81,6 +82,9 @@
 			return false
 		}
 	}
+	if r.Index == d.version.Index {
+		d.adoptConfirmation(r)
+	}
 	return true
 }
 
@@ -105,6 +109,7 @@
 		d.version.Index, "endpoints", len(endpoints), "complete", changes.Snapshot,
 		logmsg.KeyAge, (d.Clock() - r.HeardAt).Round(time.Millisecond))
 	listsAdopted.Inc()
+	d.continueLease(r)
 	d.version, d.index, d.numbering = r.Version(), r.Index, r.Numbering
 	d.adoptions++
 	d.lease.Confirmed(r.ConfirmedAt)
@@ -126,3 +131,47 @@
 	}
 	return r.Complete(stored)
 }
+
+// adoptConfirmation takes over when the version that both processes have was the latest one, and when the service was
+// last found unreachable.
+func (d *Discovery) adoptConfirmation(r ListRecord) {
+	if r.ConfirmedAt <= d.version.ConfirmedAt && r.UnreachableAt <= d.unreachableAt {
+		return
+	}
+	d.continueLease(r)
+	d.version.ConfirmedAt = max(d.version.ConfirmedAt, r.ConfirmedAt)
+	d.version.HeardAt = max(d.version.HeardAt, r.HeardAt)
+	d.lease.Confirmed(d.version.ConfirmedAt)
+	if r.UnreachableAt != listversion.NotConfirmed {
+		d.unreachableAt = max(d.unreachableAt, r.UnreachableAt)
+		d.lease.Unreachable(r.UnreachableAt)
+	}
+	d.reportLease()
+}
+
+// continueLease continues the record's lease if this process has begun one of its own, for a list that discovery has not
+// confirmed: it could not read the record at its start.
+func (d *Discovery) continueLease(r ListRecord) {
+	if d.version.ConfirmedAt == listversion.NotConfirmed && r.Lease != nil {
+		d.lease = lease.Resume(*r.Lease, d.Grace)
+	}
+}
+
+// continueRecord makes the record that the process has inherited its own. The list may be of an earlier version than the
+// record if the changes since could not be read; it is outdated then. If the record's service is not the one that the
+// configuration names, the configuration has the effect of a reload.
+func (d *Discovery) continueRecord(r ListRecord, now time.Duration) {
+	listed := d.version
+	d.version, d.numbering, d.unreachableAt = r.Version(), r.Numbering, r.UnreachableAt
+	d.log.resume(r)
+	d.lease = lease.Resume(*r.Lease, d.Grace)
+	switch {
+	case r.Service != d.address:
+		d.numbering, d.unreachableAt = 0, listversion.NotConfirmed
+		d.lease.ServiceChanged(now)
+	case listed.Index != r.Index:
+		d.version.Index, d.version.ConfirmedAt = listed.Index, listversion.NotConfirmed
+		d.log.reset(listed.Index)
+		d.lease.Outdated(r.HeardAt)
+	}
+}
--- a/internal/platform/adopted_list_test.go
+++ b/internal/platform/adopted_list_test.go
@@ -14,6 +14,7 @@
 
 	"harepass/internal/core"
 	"harepass/internal/decide/backoff"
+	"harepass/internal/decide/lease"
 	"harepass/internal/decide/listversion"
 	"harepass/internal/decide/scatter"
 )
@@ -73,8 +74,10 @@
 // record returns the record of another process that discovery told of changes after readyList a moment ago.
 func (fx *recordFixture) record(changes ...List) ListRecord {
 	now := fx.Clock()
+	l := lease.New(now, 0, drainGrace)
+	state := l.State()
 	return ListRecord{Service: "d", Index: changes[len(changes)-1].Index, ConfirmedAt: now, HeardAt: now,
-		Base: 7, Changes: changes}
+		UnreachableAt: listversion.NotConfirmed, Lease: &state, Base: 7, Changes: changes}
 }
 
 // mustAdopt adopts a record and fails unless the coordinator gets the updates.
@@ -226,3 +229,53 @@
 		fx.close()
 	})
 }
+
+// Discovery rejects this process's calls while another process's watch is held and renewed. The list is confirmed for
+// both then; it expires once the other process's watch is lost, too.
+func TestConfirmationOfAnotherProcessRenewsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newRecordFixture()
+		close(fx.answers) // every call is answered 503
+		fx.start()
+		fx.Subscribe()
+		var r ListRecord
+		for range 20 {
+			time.Sleep(time.Second)
+			r = fx.record(List{Index: 7})
+			fx.takeUpdates()
+			fx.mustAdopt(t, r, noList)
+		}
+		want := r.ConfirmedAt + backoff.NotifiedAfter + drainGrace
+		if expires := time.Duration(fx.expires.Load()); expires > want || expires < want-drainGrace {
+			t.Errorf("the list expires %v after its last confirmation, want 6 s and most of the grace", expires-r.ConfirmedAt)
+		}
+		fx.close()
+	})
+}
+
+// A process inherits a list that was last confirmed 5 s before its start. It uses the list for what is left of the
+// lease, also if it can read the other process's record only after its start.
+func TestInheritedLeaseIsContinued(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			fx := newRecordFixture()
+			close(fx.answers)
+			r := fx.record(List{Index: 7}).Shifted(-5 * time.Second)
+			if !late {
+				fx.Inherited = &r
+			}
+			fx.start()
+			fx.Subscribe()
+			time.Sleep(100 * time.Millisecond)
+			if late {
+				fx.Adopt(context.Background(), r, noList)
+			}
+			synctest.Wait()
+			if expires := time.Duration(fx.expires.Load()); expires > r.Lease.Expires || expires < r.Lease.Expires-time.Second {
+				t.Errorf("read late: %v; the list expires %v after its last confirmation, want %v", late, expires-r.ConfirmedAt,
+					r.Lease.Expires-r.ConfirmedAt)
+			}
+			fx.close()
+		})
+	}
+}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -34,6 +34,9 @@
 	Grace time.Duration
 	// Schedule decides when discovery is polled. NewDiscovery sets the schedule of a fleet of one coordinator.
 	Schedule *backoff.Schedule
+	// Inherited is the record of another process of the coordinator from which the known list comes; nil if it comes
+	// from elsewhere.
+	Inherited *ListRecord
 	// RecordChanged is called after each change of what Record returns, except for changes of the time-out of calls. It
 	// must not block or call methods of the Discovery. It may be nil.
 	RecordChanged func()
@@ -53,10 +56,11 @@
 	lease   lease.Lease
 	// version is that of the coordinator's list, which is also known while index is not. Its index is unknownIndex if
 	// the coordinator has no list.
-	version   listversion.Known
-	numbering int64     // see ListRecord
-	log       changeLog // changes up to version
-	adoptions int       // how many versions were adopted from other processes
+	version       listversion.Known
+	numbering     int64         // see ListRecord
+	unreachableAt time.Duration // see ListRecord
+	log           changeLog     // changes up to version
+	adoptions     int           // how many versions were adopted from other processes
 }
 
 // NewDiscovery returns a Discovery for the service at an address; Listed must be set before Run. The known list is the
@@ -72,6 +76,8 @@
 		newAddress: make(chan string, 1),
 		records:    make(chan peerRecord),
 		version:    listversion.Known{Service: address, Index: unknownIndex, ConfirmedAt: listversion.NotConfirmed},
+
+		unreachableAt: listversion.NotConfirmed,
 	}
 	if len(known.Endpoints) > 0 {
 		d.index, d.version.Index = known.Index, known.Index
@@ -157,13 +163,18 @@
 	}
 }
 
-// beginLease begins the lease of the list that the coordinator starts with.
+// beginLease begins the lease of the list that the coordinator starts with, or continues the one of the process that it
+// inherited the list from.
 func (d *Discovery) beginLease() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock()
 	d.version.HeardAt = now
-	d.lease = lease.New(now, d.Schedule.ListMaxAge, d.Grace)
+	if d.Inherited == nil {
+		d.lease = lease.New(now, d.Schedule.ListMaxAge, d.Grace)
+	} else {
+		d.continueRecord(*d.Inherited, now)
+	}
 	d.reportLease()
 }
 
@@ -179,7 +190,7 @@
 func (d *Discovery) awaitSubscribe(ctx context.Context) (delay time.Duration, running bool) {
 	select {
 	case <-d.subscribe:
-		if d.knowsIndex() {
+		if d.hasUsableList() {
 			delay = d.Schedule.FirstDelay()
 		}
 	case address := <-d.newAddress:
@@ -225,6 +236,7 @@
 	switch e := f.evidence(); {
 	case e == provesUnreachable:
 		d.lease.Unreachable(f.began)
+		d.unreachableAt = max(d.unreachableAt, f.began)
 	case e == mayBeOverloaded:
 		d.lease.Rejected(f.began, d.Schedule.FleetWait())
 	case f.watch && errors.Is(f.err, errUnavailable):
@@ -246,11 +258,11 @@
 	}
 }
 
-// knowsIndex reports whether a version is known to poll changes from.
-func (d *Discovery) knowsIndex() bool {
+// hasUsableList reports whether the coordinator has a list of the service that has not expired.
+func (d *Discovery) hasUsableList() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.index != unknownIndex
+	return d.index != unknownIndex && d.lease.Expires() > d.Clock()
 }
 
 // serviceChanged sets the address of the service, and resets the known version, the schedule and the lease for it.
@@ -258,6 +270,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.address, d.index, d.numbering = address, unknownIndex, 0
+	d.unreachableAt = listversion.NotConfirmed
 	d.Schedule.ServiceChanged()
 	d.lease.ServiceChanged(d.Clock())
 	d.reportLease()
--- a/internal/platform/list_record.go
+++ b/internal/platform/list_record.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"harepass/internal/decide/lease"
 	"harepass/internal/decide/listversion"
 )
 
@@ -11,13 +12,15 @@
 // Its JSON form is stored, with instants on a clock that all processes of the machine share; elsewhere they are
 // readings of the coordinator's clock.
 type ListRecord struct {
-	Service     string        `json:"service"`      // address of the discovery service that the list came from
-	Index       int64         `json:"index"`        // version of the list
-	Numbering   int64         `json:"numbering"`    // changes whenever the service goes back to a lower index
-	ConfirmedAt time.Duration `json:"confirmed_at"` // see listversion.Known
-	HeardAt     time.Duration `json:"heard_at"`     // see listversion.Known
-	Base        int64         `json:"base"`         // Changes holds all changes after this version, up to Index
-	Changes     []List        `json:"changes"`      // oldest first
+	Service       string        `json:"service"`        // address of the discovery service that the list came from
+	Index         int64         `json:"index"`          // version of the list
+	Numbering     int64         `json:"numbering"`      // changes whenever the service goes back to a lower index
+	ConfirmedAt   time.Duration `json:"confirmed_at"`   // see listversion.Known
+	HeardAt       time.Duration `json:"heard_at"`       // see listversion.Known
+	UnreachableAt time.Duration `json:"unreachable_at"` // latest call that proved the service unreachable; or NotConfirmed
+	Lease         *lease.State  `json:"lease"`          // nil if it is not known
+	Base          int64         `json:"base"`           // Changes holds all changes after this version, up to Index
+	Changes       []List        `json:"changes"`        // oldest first
 }
 
 // Version returns the record's version in the form that the versions of two records are compared in.
@@ -27,10 +30,16 @@
 
 // Shifted returns the record with its instants moved by a duration, for a clock that differs by it.
 func (r ListRecord) Shifted(by time.Duration) ListRecord {
-	if r.ConfirmedAt != listversion.NotConfirmed {
-		r.ConfirmedAt += by
+	for _, at := range []*time.Duration{&r.ConfirmedAt, &r.UnreachableAt} {
+		if *at != listversion.NotConfirmed {
+			*at += by
+		}
 	}
 	r.HeardAt += by
+	if r.Lease != nil {
+		shifted := r.Lease.Shifted(by)
+		r.Lease = &shifted
+	}
 	return r
 }
 
@@ -75,6 +84,14 @@
 // reset empties the log for a list of a version.
 func (c *changeLog) reset(base int64) { *c = changeLog{base: base} }
 
+// resume makes the changes of a record the log's.
+func (c *changeLog) resume(r ListRecord) {
+	c.reset(r.Base)
+	for _, change := range r.Changes {
+		c.add(change)
+	}
+}
+
 // add appends a change, and drops the oldest ones if the log exceeds maxLoggedEntries.
 func (c *changeLog) add(change List) {
 	c.changes = append(c.changes, change)
