--- a/cmd/harepass/shared_list_test.go
+++ b/cmd/harepass/shared_list_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -171,6 +172,7 @@
 		"old process, killed":  (*upgradeRun).tellOldProcessAndKill,
 		"new process":          (*upgradeRun).tellNewProcess,
 		"before the start":     (*upgradeRun).tellOldProcessBeforeStart,
+		"three processes":      (*upgradeRun).tellOldOfThreeProcesses,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -223,6 +225,26 @@
 	time.Sleep(observedTime)
 }
 
+// tellOldOfThreeProcesses has the old process told while a new one is suspended. The old one is killed, a third one
+// starts, and the second one is killed later: the third one must not go back to the second one's list.
+func (r *upgradeRun) tellOldOfThreeProcesses() {
+	old, stop := r.startOldBehindCrowd()
+	defer stop()
+	second, readyAt := r.startReady()
+	time.Sleep(300 * time.Millisecond)
+	second.Process.Signal(syscall.SIGSTOP)
+	r.drainTold(fake.StatusTerminating, readyAt)
+	time.Sleep(50 * time.Millisecond)
+	r.kill(old)
+	third := r.start()
+	time.Sleep(400 * time.Millisecond)
+	second.Process.Signal(syscall.SIGCONT)
+	r.waitReady(third)
+	time.Sleep(time.Second)
+	r.kill(second)
+	time.Sleep(observedTime)
+}
+
 // tellNewProcess has only the new process told: the old one's watch is reset, and its calls fail.
 func (r *upgradeRun) tellNewProcess() {
 	r.startReady()
--- a/internal/listexchange/exchange.go
+++ b/internal/listexchange/exchange.go
@@ -27,7 +27,7 @@
 // List is the endpoint list whose record is exchanged; *platform.Discovery implements it.
 type List interface {
 	Record() (r platform.ListRecord, ok bool)
-	Adopt(ctx context.Context, r platform.ListRecord, complete platform.CompleteList) (adopted bool)
+	Adopt(ctx context.Context, r platform.ListRecord, complete platform.CompleteList) error
 }
 
 // Exchange exchanges records with the other processes of a coordinator. Create it with Open.
@@ -136,7 +136,10 @@
 			x.logOnce("endpoint list record not used", err)
 			return
 		}
-		p.pending = !list.Adopt(ctx, p.stored.Record.Shifted(-ahead), x.completeList(writer))
+		err = list.Adopt(ctx, p.stored.Record.Shifted(-ahead), x.completeList(writer))
+		if p.pending = err != nil; p.pending {
+			x.logOnce("endpoint list of another process not taken over", err)
+		}
 	}
 }
 
--- a/internal/platform/adopted_list.go
+++ b/internal/platform/adopted_list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -28,30 +29,34 @@
 type peerRecord struct {
 	record   ListRecord
 	complete CompleteList
-	adopted  chan<- bool
+	result   chan<- error
 }
 
 // Record returns what this process knows of the list. ok is false if it has no list.
 func (d *Discovery) Record() (r ListRecord, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	v, lease := d.version, d.lease.State()
+	v, state := d.version, d.lease.State()
 	r = ListRecord{Service: v.Service, Index: v.Index, Numbering: d.numbering, ConfirmedAt: v.ConfirmedAt,
-		HeardAt: v.HeardAt, UnreachableAt: d.unreachableAt, Lease: &lease, Base: d.log.base, Changes: d.log.all()}
+		HeardAt: v.HeardAt, UnreachableAt: d.unreachableAt, Lease: &state, Base: d.log.base, Changes: d.log.all()}
 	return r, v.Index != unknownIndex
 }
 
+// ErrChangesMissing is returned for a record that does not hold all changes since this process's version, if there is no
+// complete list to apply the others to.
+var ErrChangesMissing = errors.New("platform: changes between the two versions are missing")
+
 // Adopt takes over what is newer in the record of another process of the coordinator. complete is called if the record
-// does not hold all changes since this process's version. Adopt returns false if the record is newer but could not be
-// taken over, because complete returned no list or one that is too old; the coordinator stops using its list then, and
-// Adopt should be called again with the record. Adopt waits until Run has begun. It returns true if ctx ends.
-func (d *Discovery) Adopt(ctx context.Context, r ListRecord, complete CompleteList) (adopted bool) {
-	done := make(chan bool, 1)
+// does not hold all changes since this process's version. An error means that the record is newer but could not be taken
+// over: it is ErrChangesMissing, an *EntryError or the context's. The coordinator soon stops using its list then, and
+// Adopt should be called again with the record. Adopt waits until Run has begun.
+func (d *Discovery) Adopt(ctx context.Context, r ListRecord, complete CompleteList) error {
+	result := make(chan error, 1)
 	select {
-	case d.records <- peerRecord{r, complete, done}:
-		return <-done
+	case d.records <- peerRecord{r, complete, result}:
+		return <-result
 	case <-ctx.Done():
-		return true
+		return ctx.Err()
 	}
 }
 
@@ -60,7 +65,7 @@
 	for {
 		select {
 		case p := <-d.records:
-			p.adopted <- d.adopt(p.record, p.complete)
+			p.result <- d.adopt(p.record, p.complete)
 		case <-ctx.Done():
 			return
 		}
@@ -69,41 +74,34 @@
 
 // adopt implements Adopt. A record of another service than the one that this process polls is ignored, and so is one
 // whose list discovery has not told to that process.
-func (d *Discovery) adopt(r ListRecord, complete CompleteList) (adopted bool) {
+func (d *Discovery) adopt(r ListRecord, complete CompleteList) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r.Service != d.address || r.ConfirmedAt == listversion.NotConfirmed {
-		return true
+		return nil
 	}
 	if d.version.Service != r.Service || r.Version().Supersedes(d.version) {
-		if !d.adoptVersion(r, complete) {
+		if err := d.adoptVersion(r, complete); err != nil {
 			d.lease.Outdated(r.HeardAt)
 			d.reportLease()
-			return false
+			return err
 		}
 	}
 	if r.Index == d.version.Index {
 		d.adoptConfirmation(r)
 	}
-	return true
+	return nil
 }
 
-// adoptVersion takes over the record's version of the list, and reports whether it could.
-func (d *Discovery) adoptVersion(r ListRecord, complete CompleteList) bool {
-	changes, ok := List{}, false
-	if d.version.Service == r.Service && d.numbering == r.Numbering {
-		changes, ok = r.ChangesAfter(d.version.Index)
-	}
-	if !ok {
-		changes, ok = d.completeVersion(r, complete)
-	}
-	if !ok {
-		return false
+// adoptVersion takes over the record's version of the list.
+func (d *Discovery) adoptVersion(r ListRecord, complete CompleteList) error {
+	changes, err := d.changesTo(r, complete)
+	if err != nil {
+		return err
 	}
 	endpoints, err := changes.CoreEndpoints()
 	if err != nil {
-		slog.Warn("endpoint list of another process rejected", logmsg.KeyError, err)
-		return false
+		return err
 	}
 	slog.Info(logmsg.EndpointListTakenOver, logmsg.KeySource, "another process", "version", r.Index, "from_version",
 		d.version.Index, "endpoints", len(endpoints), "complete", changes.Snapshot,
@@ -120,16 +118,25 @@
 	}
 	d.Listed(updateKind(changes), endpoints)
 	d.reportLease()
-	return true
+	return nil
 }
 
-// completeVersion returns the complete list of the record's version.
-func (d *Discovery) completeVersion(r ListRecord, complete CompleteList) (list List, ok bool) {
+// changesTo returns the changes from this process's version to the record's, or the complete list of the record's.
+func (d *Discovery) changesTo(r ListRecord, complete CompleteList) (List, error) {
+	if d.version.Service == r.Service && d.numbering == r.Numbering {
+		if changes, ok := r.ChangesAfter(d.version.Index); ok {
+			return changes, nil
+		}
+	}
 	service, stored, ok := complete()
 	if !ok || service != r.Service {
-		return List{}, false
+		return List{}, ErrChangesMissing
+	}
+	list, ok := r.Complete(stored)
+	if !ok {
+		return List{}, ErrChangesMissing
 	}
-	return r.Complete(stored)
+	return list, nil
 }
 
 // adoptConfirmation takes over when the version that both processes have was the latest one, and when the service was
--- a/internal/platform/list_record.go
+++ b/internal/platform/list_record.go
@@ -55,9 +55,24 @@
 			changes.Endpoints = append(changes.Endpoints, c.Endpoints...)
 		}
 	}
+	changes.Endpoints = latestOfEach(changes.Endpoints)
 	return changes, true
 }
 
+// latestOfEach returns the last entry of each name, in the order of these entries.
+func latestOfEach(entries []Endpoint) (latest []Endpoint) {
+	last := make(map[string]int, len(entries))
+	for i, e := range entries {
+		last[e.Name] = i
+	}
+	for i, e := range entries {
+		if last[e.Name] == i {
+			latest = append(latest, e)
+		}
+	}
+	return latest
+}
+
 // Complete returns the complete list of the record's version, from a complete list of an earlier version of the same
 // service. ok is false if the record does not hold all changes since.
 func (r ListRecord) Complete(earlier List) (complete List, ok bool) {
