State files: an older list that is stored later no longer replaces a process's own

Callers would see: after two versions ran side by side, a third one starts from the list before a drain, or finds no list that the changes it was told belong to, and refuses queries until discovery answers. Seen in a test, not by a caller.

Cause: Store.merge took over whichever list was set last by the wall clock of its writer, also while the process ran and had a newer one; the state file then held the other process's older list. Evidence: the test below shows version 41 in the place of 42.

Change: a process takes a stored list over at its start only; package listexchange passes on changes after that. Measured: TestOlderListStoredLaterDoesNotReplaceOwn failed before and passes; the package's tests pass.

--- a/internal/operator/store.go
+++ b/internal/operator/store.go
@@ -85,14 +85,16 @@
 	}
 	if dir != nil {
 		dir.Prune()
-		s.merge(dir.ReadChanged())
+		others := dir.ReadChanged()
+		s.merge(others)
+		s.inheritList(others)
 		s.unsaved = true
 	}
 	return s
 }
 
-// InheritedList returns the latest endpoint list that another process stored, in discovery's form, and the address of
-// the discovery service that it came from. The list is nil if there is none. InheritedList must be called before Run.
+// InheritedList returns the endpoint list that another process set last, in discovery's form, and the address of the
+// discovery service that it came from. The list is nil if there is none. InheritedList must be called before Run.
 func (s *Store) InheritedList() (list json.RawMessage, discovery string) {
 	return s.own.List, s.own.Discovery
 }
@@ -126,8 +128,8 @@
 // in order.
 func (s *Store) notify() { s.Coordinator.SetMaintenance(maps.Clone(s.own.Maintenance)) }
 
-// merge takes over newer maintenance calls, checkpoints and endpoint lists from other processes' state files, and
-// reports whether the register has changed. The caller holds the lock, or calls it before Run.
+// merge takes over newer maintenance calls and checkpoints from other processes' state files, and reports whether the
+// register has changed. The caller holds the lock, or calls it before Run.
 func (s *Store) merge(others []StateFile) (registerChanged bool) {
 	for _, o := range others {
 		if o.Name != s.Name {
@@ -138,11 +140,18 @@
 		if c := o.Checkpoint; c != nil && (s.own.Checkpoint == nil || c.At > s.own.Checkpoint.At) {
 			s.own.Checkpoint = c
 		}
-		if o.ListAt > s.own.ListAt { // even if Write left the list out: an older one must not count as latest
+	}
+	return registerChanged
+}
+
+// inheritList takes over the endpoint list that another process has set last. It is called at the start only: later,
+// package listexchange passes changes on, and a list that is set later than this process's can still be an older one.
+func (s *Store) inheritList(others []StateFile) {
+	for _, o := range others {
+		if o.Name == s.Name && o.ListAt > s.own.ListAt { // even if Write left it out: an older one is not the latest
 			s.own.ListAt, s.own.List, s.own.Discovery = o.ListAt, o.List, o.Discovery
 		}
 	}
-	return registerChanged
 }
 
 // Run calls syncFiles at each poll, and when sync asks for it, until ctx is done. A change that is not written by then
--- a/internal/operator/store_test.go
+++ b/internal/operator/store_test.go
@@ -291,3 +291,23 @@
 		third.end()
 	})
 }
+
+// Two processes run side by side, and the one with the older list stores it later. If the other one took it over, its
+// state file would lack the changes that it has told others, and a third process could not start from it.
+func TestOlderListStoredLaterDoesNotReplaceOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir := t.TempDir()
+		newer := startProcess(t, dir, "n1")
+		time.Sleep(time.Second)
+		older := startProcess(t, dir, "n1")
+		newer.SetList("d:1", json.RawMessage(`{"index":42}`))
+		time.Sleep(time.Second)
+		older.SetList("d:1", json.RawMessage(`{"index":41}`))
+		time.Sleep(time.Second)
+		if list, _ := newer.InheritedList(); string(list) != `{"index":42}` {
+			t.Errorf("the list %s is stored in place of version 42", list)
+		}
+		newer.end()
+		older.end()
+	})
+}
