--- a/internal/lifecycle/doc.go
+++ b/internal/lifecycle/doc.go
@@ -24,7 +24,7 @@
 //	relayed_settings.go  settings that relays distribute
 //	listeners.go         the fronts, and the division of descriptors between clients and replicas
 //	stored_state.go      the folder for state files, and how state passes from one process to the next
-//	inherited_list.go    choice of the first endpoint list: the stored one or the configuration's
+//	inherited_list.go    choice of the first endpoint list: another process's or the configuration's
 //	admin_endpoint.go    operators' calls, and what is stored of them for the next process
 //	reload.go            which values a running process takes from files and relays, and which it does not
 //	drain.go             the end of a process: which requests are still answered, and by when
--- a/internal/lifecycle/inherited_list.go
+++ b/internal/lifecycle/inherited_list.go
@@ -15,11 +15,11 @@
 	record  *platform.ListRecord // of the process that the list is inherited from; nil if there is none
 }
 
-// chooseFirstList returns the endpoint list that the process starts with. It prefers the list that another process
-// stored, because that one can have changes made after the platform's file was written. It returns the configuration's
-// list if no list is stored, if the stored one cannot be read, or if both come from the same discovery service and the
-// configuration's version is later. Versions of two discovery services cannot be compared. If it returns the stored
-// list, that list also replaces KnownEndpoints.
+// chooseFirstList returns the endpoint list that the process starts with. It prefers the list of another process,
+// because that one can have changes made after the platform's file was written. It returns the configuration's list if
+// there is no other, if the other cannot be read, or if both come from the same discovery service and the
+// configuration's version is later. Versions of two discovery services cannot be compared. If it returns another
+// process's list, that list also replaces KnownEndpoints.
 func (p *process) chooseFirstList() firstList {
 	configured := firstList{List: p.Platform.KnownList, service: p.Platform.Discovery}
 	if p.store == nil {
--- a/internal/lifecycle/stored_state.go
+++ b/internal/lifecycle/stored_state.go
@@ -22,13 +22,18 @@
 //     (chooseFirstList). So it need not wait for discovery, and sends nothing to a replica that this list has as
 //     draining. It restores the latest checkpoint if that is recent (loadInitialState), and takes over all maintenance
 //     entries (openAdminEndpoint).
-//  3. If the platform holds the clients' listener (PROXY_FD), the new process accepts from it only after its
+//  3. While both run, each learns within 0.1 s what discovery has told the other: changes of the list, and that it was
+//     the latest one (package listexchange). So a change binds both, and the list expires for both at about one time.
+//     The new process says that it is ready whether or not its list has expired: a process with a valid list would have
+//     passed it on, and clients get a rejection instead of no answer.
+//  4. If the platform holds the clients' listener (PROXY_FD), the new process accepts from it only after its
 //     coordinator has left the phase Starting (serveFronts); until then only the old process accepts. While both run,
 //     each reads the other's file, so that an operator's call to either process applies to both.
-//  4. On SIGTERM the old process stops accepting from the platform's listener, answers the requests that it has, and
+//  5. On SIGTERM the old process stops accepting from the platform's listener, answers the requests that it has, and
 //     ends (drain). A killed process leaves its last file, which the next process reads in the same way.
 //
-// A coordinator without an admin endpoint stores nothing and starts with its configuration's endpoint list.
+// A coordinator without an admin endpoint stores nothing and starts with its configuration's endpoint list. One whose
+// list comes from relays starts with the stored list but exchanges no changes.
 
 // StateFolder is the name of the folder for state files, within the folder that TMPDIR names. The platform keeps the
 // contents of TMPDIR when it starts a new version beside the old one.
