Shared files: one package writes them and tells when they have changed

Cause: state files and list records were written and watched by the same lines twice, and a record that could not be read made its writer count as one of the version before, which writes none. Change: package sharedfile; a record that is there, read or not, marks its writer.

--- a/internal/listexchange/earlier_version.go
+++ b/internal/listexchange/earlier_version.go
@@ -17,11 +17,11 @@
 // when it is first read is not offered: a process starts with it (operator.Store.InheritedList), or it is from a process
 // that ended long ago.
 func (x *Exchange) readStateFile(p *peer, path string) {
-	if p.recordFile != nil {
+	if p.hasRecord {
 		return
 	}
-	data, info := x.readChanged(p.stateFile, path)
-	if data == nil {
+	data, info, changed := x.readChanged(p.stateFile, path)
+	if !changed {
 		return
 	}
 	first := p.stateFile == nil
--- a/internal/listexchange/exchange_test.go
+++ b/internal/listexchange/exchange_test.go
@@ -19,6 +19,7 @@
 	"harepass/internal/decide/maintenance"
 	"harepass/internal/operator"
 	"harepass/internal/platform"
+	"harepass/internal/sharedfile"
 )
 
 // fakeList is a list whose record the test sets, and which adopts every record.
@@ -222,7 +223,7 @@
 		}
 		return readFile(path)
 	}
-	blocker := writer.path(writer.own, recordSuffix+writingSuffix)
+	blocker := writer.path(writer.own, recordSuffix+sharedfile.WritingSuffix)
 	if err := os.Mkdir(blocker, 0o700); err != nil { // a folder in the file's place: writing it fails
 		t.Fatal(err)
 	}
--- a/internal/listexchange/folder.go
+++ b/internal/listexchange/folder.go
@@ -11,20 +11,20 @@
 
 	"harepass/internal/operator"
 	"harepass/internal/platform"
+	"harepass/internal/sharedfile"
 )
 
 const (
 	// recordSuffix is the suffix of a record's file name. The rest is that of the writer's state file.
 	recordSuffix = ".list"
-	// writingSuffix is appended to the name of a record while it is written.
-	writingSuffix = ".new"
 	// maxRecords is how many records of other processes prune keeps, those that were written last.
 	maxRecords = 16
 )
 
 // peer is another process of the coordinator.
 type peer struct {
-	recordFile fs.FileInfo // of the record that was read; nil if there is none
+	hasRecord  bool        // it writes records, though this one may not have been read
+	recordFile fs.FileInfo // of the record that was read last
 	stored     storedRecord
 	usable     bool // stored is a record of this coordinator
 	pending    bool // stored is to be offered to the list
@@ -53,8 +53,9 @@
 
 // readRecord reads a record if its file has changed.
 func (x *Exchange) readRecord(p *peer, path string) {
-	data, info := x.readChanged(p.recordFile, path)
-	if data == nil {
+	p.hasRecord = true
+	data, info, changed := x.readChanged(p.recordFile, path)
+	if !changed {
 		return
 	}
 	p.recordFile = info
@@ -66,42 +67,31 @@
 	p.stored, p.usable, p.pending = stored, true, true
 }
 
-// readChanged reads a file unless it is the one that was read last. The data is nil if it is, or if the file cannot be
-// read; it is read again at the next poll then.
-func (x *Exchange) readChanged(last fs.FileInfo, path string) ([]byte, fs.FileInfo) {
+// readChanged reads a file if it has changed since it was read last. A file that cannot be read counts as unchanged; it
+// is read again at the next poll.
+func (x *Exchange) readChanged(last fs.FileInfo, path string) (data []byte, info fs.FileInfo, changed bool) {
 	info, err := os.Stat(path)
-	if err != nil || sameFile(last, info) {
-		return nil, nil
+	if err != nil || sharedfile.Unchanged(last, info) {
+		return nil, nil, false
 	}
-	data, err := x.readFile(path)
+	data, err = x.readFile(path)
 	if err != nil {
 		x.logOnce("endpoint list of another process not read", err)
-		return nil, nil
+		return nil, nil, false
 	}
-	return data, info
-}
-
-// sameFile reports whether a file is unchanged since it was read; last is nil if it has not been read.
-func sameFile(last, now fs.FileInfo) bool {
-	return last != nil && os.SameFile(last, now) && last.ModTime().Equal(now.ModTime()) && last.Size() == now.Size()
+	return data, info, true
 }
 
 // path returns the path of a process's file with a suffix.
 func (x *Exchange) path(writer, suffix string) string { return filepath.Join(x.dir, writer+suffix) }
 
-// write replaces this process's record whole or not at all. It does not sync the file, because only processes of the
-// same boot read it.
+// write replaces this process's record.
 func (x *Exchange) write(s storedRecord) error {
 	data, err := json.Marshal(s)
 	if err != nil {
 		return err
 	}
-	path := x.path(x.own, recordSuffix)
-	if err := os.WriteFile(path+writingSuffix, data, 0o600); err != nil {
-		os.Remove(path + writingSuffix) // a full disk leaves an incomplete file
-		return err
-	}
-	return os.Rename(path+writingSuffix, path)
+	return sharedfile.Write(x.path(x.own, recordSuffix), data)
 }
 
 // prune removes all records of other processes but the maxRecords that were written last, with files that their writers
@@ -109,7 +99,7 @@
 func (x *Exchange) prune() {
 	var writers []string
 	for writer, p := range x.peers {
-		if p.recordFile != nil {
+		if p.hasRecord {
 			writers = append(writers, writer)
 		}
 	}
@@ -118,7 +108,7 @@
 	})
 	for _, writer := range writers[min(len(writers), maxRecords):] {
 		os.Remove(x.path(writer, recordSuffix))
-		os.Remove(x.path(writer, recordSuffix+writingSuffix))
+		os.Remove(x.path(writer, recordSuffix+sharedfile.WritingSuffix))
 		delete(x.peers, writer)
 	}
 }
--- a/internal/operator/state_dir.go
+++ b/internal/operator/state_dir.go
@@ -14,13 +14,12 @@
 
 	"harepass/internal/inputfile"
 	"harepass/internal/logmsg"
+	"harepass/internal/sharedfile"
 )
 
 const (
 	// StateFileSuffix is the suffix of a state file's name.
 	StateFileSuffix = ".state"
-	// writingSuffix is appended to the name of a state file while it is written.
-	writingSuffix = ".new"
 	// maxOldStateFiles is how many state files of other processes Prune keeps, the latest ones.
 	maxOldStateFiles = 4
 	// partialLifetime is the age above which the writer of a partial state file counts as killed, and Prune removes the
@@ -57,28 +56,18 @@
 func (d *StateDir) OwnPath() string { return filepath.Join(d.dir, d.own) }
 
 // ownPartial returns the name of this process's state file while it is written.
-func (d *StateDir) ownPartial() string { return d.own + writingSuffix }
+func (d *StateDir) ownPartial() string { return d.own + sharedfile.WritingSuffix }
 
 // Write replaces this process's state file completely or not at all. If the state exceeds the limit, Write leaves out
 // the checkpoint and then the endpoint list, which a new process can get from discovery. It never leaves out the
 // operators' calls, because no other component has them. leftOut names the parts that were left out. Write returns
 // ErrTooLarge if the calls alone exceed the limit, or an error of the file system.
-//
-// If a process were killed while it overwrites its state file, the file would be incomplete and the operators' calls in
-// it lost. So Write creates a partial file beside the old one and renames it over that. It does not sync the file,
-// because the directory does not outlive the machine: only other processes read it, and they see a rename completely or
-// not at all.
 func (d *StateDir) Write(s StateFile) (leftOut []string, err error) {
 	data, leftOut, err := encodeWithinLimit(s)
 	if err != nil {
 		return leftOut, err
 	}
-	partial := filepath.Join(d.dir, d.ownPartial())
-	if err := os.WriteFile(partial, data, 0o600); err != nil {
-		os.Remove(partial) // a full disk leaves an incomplete file
-		return leftOut, err
-	}
-	return leftOut, os.Rename(partial, d.OwnPath())
+	return leftOut, sharedfile.Write(d.OwnPath(), data)
 }
 
 // encodeWithinLimit encodes a state file without the parts that do not fit into the limit, which leftOut names.
@@ -109,13 +98,13 @@
 			continue
 		}
 		info, err := os.Stat(path)
-		if err != nil || sameFile(d.lastRead[name], info) {
+		if err != nil || sharedfile.Unchanged(d.lastRead[name], info) {
 			continue
 		}
 		s, err := d.read(path, info.Size())
 		var failed *fs.PathError
 		if errors.As(err, &failed) {
-			if !sameFile(d.unread[name], info) {
+			if !sharedfile.Unchanged(d.unread[name], info) {
 				slog.Warn(msgNotUsed, "file", path, logmsg.KeyError, err)
 			}
 			d.unread[name] = info
@@ -144,11 +133,6 @@
 	return false
 }
 
-// sameFile reports whether a file is unchanged since its last read; last is nil if it has not been read.
-func sameFile(last, now fs.FileInfo) bool {
-	return last != nil && os.SameFile(last, now) && last.ModTime().Equal(now.ModTime()) && last.Size() == now.Size()
-}
-
 // read reads and decodes a state file; size is the file's, in bytes. An error is ErrTooLarge, a *fs.PathError or one of
 // Decode.
 func (d *StateDir) read(path string, size int64) (StateFile, error) {
@@ -174,7 +158,7 @@
 		switch name := e.Name(); {
 		case strings.HasSuffix(name, StateFileSuffix) && name != d.own:
 			others = append(others, name)
-		case strings.HasSuffix(name, StateFileSuffix+writingSuffix) && name != d.ownPartial():
+		case strings.HasSuffix(name, StateFileSuffix+sharedfile.WritingSuffix) && name != d.ownPartial():
 			if info, err := e.Info(); err == nil && time.Since(info.ModTime()) > partialLifetime {
 				d.remove(name)
 			}
