List: a change at the service that an inherited list is from binds after a move, too

Callers would see: a new version whose configuration names another discovery goes on sending to a node that the old process is told to leave, for up to 4.75 s.

Cause: a process that starts with a list of another service than it polls forgot which service the list is from, and adopted only records of the service that it polls. A configured list also won over an inherited one by its index alone, even after a restart of discovery with a lower one.

Change: Discovery.Inherit keeps the list with its service; changes told by that service are adopted, but do not prolong the list. A configured list from before a restart that the other process has seen is not taken for a later one; a stored list of the configured service goes before a record of another one.

--- a/internal/lifecycle/endpoints.go
+++ b/internal/lifecycle/endpoints.go
@@ -33,12 +33,10 @@
 		p.relayedList = platform.NewRelayedList(first.List)
 		return
 	}
-	known := first.List
-	if first.service != p.Platform.Discovery {
-		known = platform.List{} // versions of another service do not compare: poll the complete list
+	p.discovery = platform.NewDiscovery(p.Platform.Discovery, p.Platform.KnownList)
+	if first.inherited {
+		p.discovery.Inherit(first.service, first.List, first.record)
 	}
-	p.discovery = platform.NewDiscovery(p.Platform.Discovery, known)
-	p.discovery.Inherited = first.record
 	p.discovery.Schedule = &backoff.Schedule{FleetSize: p.Settings.Coordinators, ListMaxAge: p.Settings.ListMaxAge,
 		UsesAgent: p.ListPushed, Rand: rand.New(rand.NewPCG(p.Seed, pollScheduleStream))}
 	p.discovery.Grace = p.Settings.DrainGrace
--- a/internal/lifecycle/inherited_list.go
+++ b/internal/lifecycle/inherited_list.go
@@ -11,8 +11,9 @@
 // firstList is the endpoint list that a process starts with.
 type firstList struct {
 	platform.List
-	service string               // address of the discovery service that the list came from
-	record  *platform.ListRecord // of the process that the list is inherited from; nil if there is none
+	service   string               // address of the discovery service that the list came from
+	inherited bool                 // the list is another process's
+	record    *platform.ListRecord // of that process; nil if it has none
 }
 
 // chooseFirstList returns the endpoint list that the process starts with. It prefers the list of another process,
@@ -32,7 +33,7 @@
 	if first.service == "" {
 		return configured
 	}
-	if first.service == configured.service && configured.Index > first.Index {
+	if first.isBefore(configured) {
 		slog.Info("stored endpoint list outdated", "version", first.Index, "configured_version", configured.Index)
 		return configured
 	}
@@ -41,11 +42,18 @@
 		slog.Warn("stored endpoint list rejected", logmsg.KeyError, err)
 		return configured
 	}
-	p.KnownEndpoints = endpoints
+	p.KnownEndpoints, first.inherited = endpoints, true
 	slog.Info(logmsg.EndpointListTakenOver, "endpoints", len(endpoints), "version", first.Index)
 	return first
 }
 
+// isBefore reports whether the configuration has a later list of the same service. After a restart of the service its
+// index does not tell, because the configuration can be from before.
+func (f firstList) isBefore(configured firstList) bool {
+	restarted := f.record != nil && f.record.Numbering != 0
+	return f.service == configured.service && configured.Index > f.Index && !restarted
+}
+
 // storedList returns the list that other processes stored last. The service is empty if there is none that can be used.
 func (p *process) storedList() (stored firstList) {
 	data, service := p.store.InheritedList()
@@ -71,7 +79,14 @@
 // inherit returns the list of a record's version, from the writer's complete list or another one that lacks only
 // changes that the record holds. If there is none, it returns the latest one, which is outdated then. A list that is
 // later than the record's was stored by a version of the program that writes no records, and has none.
+// If only the stored list is of the service that the configuration names, it is preferred to one of another service.
 func inherit(record platform.ListRecord, complete platform.CompleteList, stored, configured firstList) firstList {
+	if record.Service != configured.service && stored.service == configured.service {
+		return stored
+	}
+	if len(configured.Endpoints) == 0 {
+		configured.service = "" // the configuration has no list
+	}
 	service, written, _ := complete()
 	latest := firstList{}
 	for _, base := range []firstList{{List: written, service: service}, stored, configured} {
--- a/internal/platform/adopted_list.go
+++ b/internal/platform/adopted_list.go
@@ -72,12 +72,14 @@
 	}
 }
 
-// adopt implements Adopt. A record of another service than the one that this process polls is ignored, and so is one
-// whose list discovery has not told to that process.
+// adopt implements Adopt. A record is ignored if it is neither of the service that this process polls nor of the one
+// that its list is still from, or if discovery has not told its list to the other process. What a service that is no
+// longer polled tells changes the list, but does not confirm it.
 func (d *Discovery) adopt(r ListRecord, complete CompleteList) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if r.Service != d.address || r.ConfirmedAt == listversion.NotConfirmed {
+	polled := r.Service == d.address
+	if !polled && r.Service != d.version.Service || r.ConfirmedAt == listversion.NotConfirmed {
 		return nil
 	}
 	if d.version.Service != r.Service || r.Version().Supersedes(d.version) {
@@ -87,7 +89,7 @@
 			return err
 		}
 	}
-	if r.Index == d.version.Index {
+	if polled && r.Index == d.version.Index {
 		d.adoptConfirmation(r)
 	}
 	return nil
@@ -107,10 +109,13 @@
 		d.version.Index, "endpoints", len(endpoints), "complete", changes.Snapshot,
 		logmsg.KeyAge, (d.Clock() - r.HeardAt).Round(time.Millisecond))
 	listsAdopted.Inc()
-	d.continueLease(r)
-	d.version, d.index, d.numbering = r.Version(), r.Index, r.Numbering
+	if r.Service == d.address {
+		d.continueLease(r)
+		d.lease.Confirmed(r.ConfirmedAt)
+		d.index = r.Index
+	}
+	d.version, d.numbering = r.Version(), r.Numbering
 	d.adoptions++
-	d.lease.Confirmed(r.ConfirmedAt)
 	d.logChange(changes)
 	if d.copy != nil {
 		d.copy.Merge(r.Service, changes)
--- a/internal/platform/adopted_list_test.go
+++ b/internal/platform/adopted_list_test.go
@@ -280,6 +280,36 @@
 	})
 }
 
+// The configuration of a new process names another service, which rejects its calls, while the old process is still told
+// by the service that the list is from. The change binds the new process, too, but does not prolong its list.
+func TestChangeOfInheritedServiceIsAdopted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newRecordFixture()
+		close(fx.answers)
+		r := fx.record(List{Index: 3})
+		r.Service, r.Base, r.Changes = "a", 3, nil
+		fx.Inherit("a", List{Index: 3, Snapshot: true, Endpoints: readyList().Endpoints}, &r)
+		fx.stored = fx.KeepCopy(func() {})
+		fx.start()
+		fx.Subscribe()
+		time.Sleep(time.Second)
+		fx.takeUpdates()
+		before := fx.expires.Load()
+		change := fx.record(changeTo(4, "terminating"))
+		change.Service, change.Base = "a", 3
+		fx.mustAdopt(t, change, noList, listUpdate{scatter.IncrementalUpdate, 1})
+		if fx.storedStatus() != "terminating" || fx.expires.Load() != before {
+			t.Errorf("stored status %q, the list expires %v later; want terminating, and no later", fx.storedStatus(),
+				time.Duration(fx.expires.Load()-before))
+		}
+		time.Sleep(time.Second)
+		if poll := fx.lastPoll(); poll != "/registry/instances" {
+			t.Errorf("last call %s, want one for the complete list", poll)
+		}
+		fx.close()
+	})
+}
+
 // A process starts long after the one that it inherits its list from has ended. It does not use the list, and asks
 // discovery at once, as a process without a list does, although it is one of a fleet of 300.
 func TestExpiredListIsNotUsedAfterStart(t *testing.T) {
@@ -287,7 +317,7 @@
 		fx := newRecordFixture()
 		fx.Schedule.FleetSize = 300
 		r := fx.record(List{Index: 7}).Shifted(-time.Hour)
-		fx.Inherited = &r
+		fx.Inherit("d", readyList(), &r)
 		fx.start()
 		fx.Subscribe()
 		synctest.Wait()
@@ -312,7 +342,7 @@
 			close(fx.answers)
 			r := fx.record(List{Index: 7}).Shifted(-5 * time.Second)
 			if !late {
-				fx.Inherited = &r
+				fx.Inherit("d", readyList(), &r)
 			}
 			fx.start()
 			fx.Subscribe()
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -34,15 +34,13 @@
 	Grace time.Duration
 	// Schedule decides when discovery is polled. NewDiscovery sets the schedule of a fleet of one coordinator.
 	Schedule *backoff.Schedule
-	// Inherited is the record of another process of the coordinator from which the known list comes; nil if it comes
-	// from elsewhere.
-	Inherited *ListRecord
 	// RecordChanged is called after each change of what Record returns, except for changes of the time-out of calls. It
 	// must not block or call methods of the Discovery. It may be nil.
 	RecordChanged func()
 
-	known      List   // list that the coordinator started with; empty once Run has begun
-	changed    func() // called after copy has changed
+	known      List        // list that the coordinator started with; empty once Run has begun
+	inherited  *ListRecord // of the process that known comes from; see Inherit
+	changed    func()      // called after copy has changed
 	subscribe  chan struct{}
 	newAddress chan string     // the latest address that Run has not received
 	records    chan peerRecord // records that Adopt passes to Run
@@ -86,10 +84,23 @@
 	return d
 }
 
+// Inherit replaces the known list by one that another process of the coordinator has had from the service at an address.
+// That service may differ from the one that is to be polled. record is the other process's, or nil if it has none.
+// Inherit must be called before KeepCopy and Run.
+func (d *Discovery) Inherit(service string, list List, record *ListRecord) {
+	d.known, d.inherited = list, record
+	d.version.Service, d.version.Index = service, list.Index
+	d.log.reset(list.Index)
+	d.index = unknownIndex // versions of two services do not compare
+	if service == d.address {
+		d.index = list.Index
+	}
+}
+
 // KeepCopy keeps a copy of the complete list for a process that takes over, and calls changed after each change of the
 // copy. It must be called before Run.
 func (d *Discovery) KeepCopy(changed func()) *ListCopy {
-	d.copy, d.changed = NewListCopy(d.address, d.known), changed
+	d.copy, d.changed = NewListCopy(d.version.Service, d.known), changed
 	d.known = List{}
 	return d.copy
 }
@@ -170,10 +181,10 @@
 	defer d.mu.Unlock()
 	now := d.Clock()
 	d.version.HeardAt = now
-	if d.Inherited == nil {
+	if d.inherited == nil {
 		d.lease = lease.New(now, d.Schedule.ListMaxAge, d.Grace)
 	} else {
-		d.continueRecord(*d.Inherited, now)
+		d.continueRecord(*d.inherited, now)
 	}
 	d.reportLease()
 }
