Tests: calls at the start with an expired list, and numberings of a restarted discovery

Cause: two mutations of the code that adopts lists (trials on a scratch copy: no numbering, a first call that waits although the list has expired) passed all tests. Change: both are checked.

--- a/internal/platform/adopted_list_test.go
+++ b/internal/platform/adopted_list_test.go
@@ -211,6 +211,27 @@
 	}
 }
 
+// Discovery is restarted with a lower index, which later passes the old one. Its changes do not belong to the list from
+// before the restart, although their indexes do: the record tells the two numberings apart.
+func TestRecordTellsNumberingsApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newRecordFixture()
+		fx.startWatching()
+		before, _ := fx.Record()
+		fx.answers <- `{"index":3,"endpoints":[]}`
+		time.Sleep(backoff.MaxSpread)
+		fx.answers <- `{"index":3,"snapshot":true,"endpoints":[{"name":"a","address":"a:1","status":"in_service"}]}`
+		fx.answers <- `{"index":8,"endpoints":[{"name":"a","address":"a:1","status":"terminating"}]}`
+		synctest.Wait()
+		after, _ := fx.Record()
+		if after.Index != 8 || after.Base != 3 || before.Numbering != 0 || after.Numbering == 0 {
+			t.Errorf("version %d from %d, numbering %d before the restart and %d after it", after.Index, after.Base,
+				before.Numbering, after.Numbering)
+		}
+		fx.close()
+	})
+}
+
 // A list from which another process was told that an endpoint is removed lacks that endpoint, although changes that do
 // not name an endpoint leave it in the list.
 func TestRemovalByAnotherProcessIsAdopted(t *testing.T) {
@@ -324,6 +345,9 @@
 		if expires := time.Duration(fx.expires.Load()); expires > fx.Clock() {
 			t.Errorf("the list expires in %v, want an expired list", expires-fx.Clock())
 		}
+		if targets, _ := fx.polls.all(); len(targets) != 1 {
+			t.Errorf("calls at the start: %v, want one", targets)
+		}
 		fx.answers <- `{"index":7,"endpoints":[]}`
 		synctest.Wait()
 		if expires := time.Duration(fx.expires.Load()); expires < fx.Clock()+backoff.NotifiedAfter {
