List: versions of two numberings with one index are told apart

Callers would see: discovery is restarted and reaches its old index again; a process that has not heard of it takes the other one's confirmation for one of its own, different list. Seen on reading the change. Cause: the numbering was kept beside the version and not compared where indexes are equal; it was also reset at a reload, while the list was still the old service's; and a record that only proved the service unreachable renewed a confirmation that a rejected watch had ended. Change: the numbering is part of listversion.Known, confirmations count only within one numbering, and each of the two instants of a record counts for itself. Measured: the new case of TestSupersedes fails without the comparison and passes; the packages' tests pass with -race.

--- a/internal/decide/listversion/listversion.go
+++ b/internal/decide/listversion/listversion.go
@@ -22,6 +22,7 @@
 // Known is what one process knows of the list's latest version.
 type Known struct {
 	Service     string        // address of the discovery service that numbered the version
+	Numbering   int64         // changes whenever a process sees the service go back to a lower index
 	Index       int64         // the version's number
 	ConfirmedAt time.Duration // latest instant at which the version was the latest one, or NotConfirmed
 	HeardAt     time.Duration // when the latest answer with or about the version arrived
@@ -37,13 +38,18 @@
 	case k.Service != other.Service:
 		return false
 	case k.confirmedAfter(other):
-		return k.Index != other.Index
+		return k.Index != other.Index || k.Numbering != other.Numbering
 	case other.confirmedAfter(k):
 		return false
 	}
 	return k.Index > other.Index
 }
 
+// Continues reports whether k has the same service and numbering as other, so that changes from one to the other exist.
+func (k Known) Continues(other Known) bool {
+	return k.Service == other.Service && k.Numbering == other.Numbering
+}
+
 // confirmedAfter reports whether k was the latest version at an instant after the last answer about other.
 func (k Known) confirmedAfter(other Known) bool {
 	return k.ConfirmedAt != NotConfirmed && k.ConfirmedAt > other.HeardAt+clockTolerance
--- a/internal/decide/listversion/listversion_test.go
+++ b/internal/decide/listversion/listversion_test.go
@@ -27,6 +27,7 @@
 		"lower index, confirmed later":      {known(3, 19*second, 20*second), known(42, 9*second, 10*second), true},
 		"higher index, heard before":        {known(42, 9*second, 10*second), known(3, 19*second, 20*second), false},
 		"confirmed within the tolerance":    {known(3, 10*second+clockTolerance, 20*second), known(42, 9*second, 10*second), false},
+		"same index after a restart":        {Known{"d", 5, 42, 19 * second, 20 * second}, known(42, 9*second, 10*second), true},
 		"never confirmed, higher index":     {known(42, NotConfirmed, 10*second), known(41, 9*second, 10*second), true},
 		"never confirmed, heard before":     {known(42, NotConfirmed, 10*second), known(41, 11*second, 12*second), false},
 		"other service, whatever the index": {Known{Service: "e", Index: 99, ConfirmedAt: 99 * second}, known(41, second, second), false},
--- a/internal/platform/adopted_list.go
+++ b/internal/platform/adopted_list.go
@@ -37,7 +37,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	v, state := d.version, d.lease.State()
-	r = ListRecord{Service: v.Service, Index: v.Index, Numbering: d.numbering, ConfirmedAt: v.ConfirmedAt,
+	r = ListRecord{Service: v.Service, Index: v.Index, Numbering: v.Numbering, ConfirmedAt: v.ConfirmedAt,
 		HeardAt: v.HeardAt, UnreachableAt: d.unreachableAt, Lease: &state, Base: d.log.base, Changes: d.log.all()}
 	return r, v.Index != unknownIndex
 }
@@ -89,7 +89,7 @@
 			return err
 		}
 	}
-	if polled && r.Index == d.version.Index {
+	if polled && r.Version().Continues(d.version) && r.Index == d.version.Index {
 		d.adoptConfirmation(r)
 	}
 	return nil
@@ -114,7 +114,7 @@
 		d.lease.Confirmed(r.ConfirmedAt)
 		d.index = r.Index
 	}
-	d.version, d.numbering = r.Version(), r.Numbering
+	d.version = r.Version()
 	d.adoptions++
 	d.logChange(changes)
 	if d.copy != nil {
@@ -128,7 +128,7 @@
 
 // changesTo returns the changes from this process's version to the record's, or the complete list of the record's.
 func (d *Discovery) changesTo(r ListRecord, complete CompleteList) (List, error) {
-	if d.version.Service == r.Service && d.numbering == r.Numbering {
+	if r.Version().Continues(d.version) {
 		if changes, ok := r.ChangesAfter(d.version.Index); ok {
 			return changes, nil
 		}
@@ -147,18 +147,19 @@
 // adoptConfirmation takes over when the version that both processes have was the latest one, and when the service was
 // last found unreachable.
 func (d *Discovery) adoptConfirmation(r ListRecord) {
-	if r.ConfirmedAt <= d.version.ConfirmedAt && r.UnreachableAt <= d.unreachableAt {
-		return
-	}
-	d.continueLease(r)
-	d.version.ConfirmedAt = max(d.version.ConfirmedAt, r.ConfirmedAt)
-	d.version.HeardAt = max(d.version.HeardAt, r.HeardAt)
-	d.lease.Confirmed(d.version.ConfirmedAt)
-	if r.UnreachableAt != listversion.NotConfirmed {
-		d.unreachableAt = max(d.unreachableAt, r.UnreachableAt)
+	confirmed, unreachable := r.ConfirmedAt > d.version.ConfirmedAt, r.UnreachableAt > d.unreachableAt
+	if confirmed {
+		d.continueLease(r)
+		d.version.ConfirmedAt, d.version.HeardAt = r.ConfirmedAt, max(d.version.HeardAt, r.HeardAt)
+		d.lease.Confirmed(r.ConfirmedAt)
+	}
+	if unreachable {
+		d.unreachableAt = r.UnreachableAt
 		d.lease.Unreachable(r.UnreachableAt)
 	}
-	d.reportLease()
+	if confirmed || unreachable {
+		d.reportLease()
+	}
 }
 
 // continueLease continues the record's lease if this process has begun one of its own, for a list that discovery has not
@@ -174,12 +175,12 @@
 // configuration names, the configuration has the effect of a reload.
 func (d *Discovery) continueRecord(r ListRecord, now time.Duration) {
 	listed := d.version
-	d.version, d.numbering, d.unreachableAt = r.Version(), r.Numbering, r.UnreachableAt
+	d.version, d.unreachableAt = r.Version(), r.UnreachableAt
 	d.log.resume(r)
 	d.lease = lease.Resume(*r.Lease, d.Grace)
 	switch {
 	case r.Service != d.address:
-		d.numbering, d.unreachableAt = 0, listversion.NotConfirmed
+		d.unreachableAt = listversion.NotConfirmed
 		d.lease.ServiceChanged(now)
 	case listed.Index != r.Index:
 		d.version.Index, d.version.ConfirmedAt = listed.Index, listversion.NotConfirmed
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -55,7 +55,6 @@
 	// version is that of the coordinator's list, which is also known while index is not. Its index is unknownIndex if
 	// the coordinator has no list.
 	version       listversion.Known
-	numbering     int64         // see ListRecord
 	unreachableAt time.Duration // see ListRecord
 	log           changeLog     // changes up to version
 	adoptions     int           // how many versions were adopted from other processes
@@ -280,7 +279,7 @@
 func (d *Discovery) serviceChanged(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.address, d.index, d.numbering = address, unknownIndex, 0
+	d.address, d.index = address, unknownIndex
 	d.unreachableAt = listversion.NotConfirmed
 	d.Schedule.ServiceChanged()
 	d.lease.ServiceChanged(d.Clock())
--- a/internal/platform/list_record.go
+++ b/internal/platform/list_record.go
@@ -14,7 +14,7 @@
 type ListRecord struct {
 	Service       string        `json:"service"`        // address of the discovery service that the list came from
 	Index         int64         `json:"index"`          // version of the list
-	Numbering     int64         `json:"numbering"`      // changes whenever the service goes back to a lower index
+	Numbering     int64         `json:"numbering"`      // see listversion.Known
 	ConfirmedAt   time.Duration `json:"confirmed_at"`   // see listversion.Known
 	HeardAt       time.Duration `json:"heard_at"`       // see listversion.Known
 	UnreachableAt time.Duration `json:"unreachable_at"` // latest call that proved the service unreachable; or NotConfirmed
@@ -25,7 +25,7 @@
 
 // Version returns the record's version in the form that the versions of two records are compared in.
 func (r ListRecord) Version() listversion.Known {
-	return listversion.Known{Service: r.Service, Index: r.Index, ConfirmedAt: r.ConfirmedAt, HeardAt: r.HeardAt}
+	return listversion.Known{Service: r.Service, Numbering: r.Numbering, Index: r.Index, ConfirmedAt: r.ConfirmedAt, HeardAt: r.HeardAt}
 }
 
 // Shifted returns the record with its instants moved by a duration, for a clock that differs by it.
--- a/internal/platform/subscription.go
+++ b/internal/platform/subscription.go
@@ -154,11 +154,9 @@
 		d.version.ConfirmedAt, d.version.HeardAt = max(d.version.ConfirmedAt, confirmed), now
 		return
 	}
-	if list.Index < d.version.Index && d.version.Service == d.address {
-		d.numbering = int64(now)
-	}
 	d.index = list.Index
-	d.version = listversion.Known{Service: d.address, Index: list.Index, ConfirmedAt: confirmed, HeardAt: now}
+	d.version = listversion.Known{Service: d.address, Numbering: d.numberingWith(list.Index, now), Index: list.Index,
+		ConfirmedAt: confirmed, HeardAt: now}
 	d.logChange(list)
 	if d.copy != nil {
 		d.copy.Merge(d.address, list)
@@ -166,6 +164,17 @@
 	}
 }
 
+// numberingWith returns the numbering of an answer with an index. It is a new one if the service has gone back.
+func (d *Discovery) numberingWith(index int64, now time.Duration) int64 {
+	switch {
+	case d.version.Service != d.address:
+		return 0
+	case index < d.version.Index:
+		return int64(now)
+	}
+	return d.version.Numbering
+}
+
 // logChange adds an answer to the log of changes. A complete list begins a new log.
 func (d *Discovery) logChange(list List) {
 	if list.Snapshot {
