--- a/cmd/harepass/changing_discovery_test.go
+++ b/cmd/harepass/changing_discovery_test.go
@@ -34,7 +34,9 @@
 // changedEntry is an entry of the list with the version of its latest change.
 type changedEntry struct {
 	fake.Endpoint
-	version int64
+	version   int64
+	changedAt time.Time
+	toldAt    time.Time // when an answer with the change was first written to a caller; zero before
 }
 
 // answeredAt holds when a connection got its first and its latest answer.
@@ -45,7 +47,7 @@
 	d.index, d.notify = firstVersion, make(chan struct{})
 	d.answered, d.told = map[string]answeredAt{}, map[int64]time.Time{}
 	for _, e := range endpoints {
-		d.entries = append(d.entries, changedEntry{e, firstVersion})
+		d.entries = append(d.entries, changedEntry{Endpoint: e, version: firstVersion})
 	}
 }
 
@@ -57,12 +59,37 @@
 	for i := range d.entries {
 		if d.entries[i].Name == name {
 			d.entries[i].Status, d.entries[i].version = status, d.index
+			d.entries[i].changedAt, d.entries[i].toldAt = time.Now(), time.Time{}
 		}
 	}
 	d.wake()
 	return d.index
 }
 
+// entry returns an endpoint's entry.
+func (d *changingDiscovery) entry(name string) (e changedEntry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e = range d.entries {
+		if e.Name == name {
+			break
+		}
+	}
+	return e
+}
+
+// restart restarts discovery: all connections are reset, and its index goes back by some versions, or to 0.
+func (d *changingDiscovery) restart(lost int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index = max(0, d.index-lost)
+	for i := range d.entries {
+		d.entries[i].version = d.index
+	}
+	d.reset = time.Now()
+	d.wake()
+}
+
 // setCrowded begins or ends the crowd.
 func (d *changingDiscovery) setCrowded(crowded bool) {
 	d.mu.Lock()
@@ -103,7 +130,7 @@
 	for {
 		list, changed := d.list(r.RemoteAddr, p.From)
 		if len(list.Endpoints) > 0 || list.Snapshot {
-			d.write(w, r.RemoteAddr, list)
+			d.write(w, r.RemoteAddr, p.From, list)
 			return
 		}
 		select {
@@ -111,7 +138,7 @@
 		case <-r.Context().Done():
 			return
 		case <-waitOver:
-			d.write(w, r.RemoteAddr, list)
+			d.write(w, r.RemoteAddr, p.From, list)
 			return
 		}
 	}
@@ -141,8 +168,8 @@
 	return l, d.notify
 }
 
-// write writes an answer.
-func (d *changingDiscovery) write(w http.ResponseWriter, conn string, l fake.EndpointList) {
+// write writes the answer to a caller that has the version from.
+func (d *changingDiscovery) write(w http.ResponseWriter, conn string, from int64, l fake.EndpointList) {
 	data, _ := json.Marshal(l)
 	w.Write(data)
 	w.(http.Flusher).Flush()
@@ -158,4 +185,10 @@
 	if d.told[l.Index].IsZero() {
 		d.told[l.Index] = now
 	}
+	for i := range d.entries {
+		// After a restart, an answer to a caller of a later version has no change in it.
+		if e := &d.entries[i]; e.toldAt.IsZero() && from < e.version && e.version <= l.Index {
+			e.toldAt = now
+		}
+	}
 }
