--- a/internal/lifecycle/listeners.go
+++ b/internal/lifecycle/listeners.go
@@ -85,9 +85,9 @@
 	return l, nil
 }
 
-// serveFronts divides the client connections and their memory equally among the fronts and starts accepting clients. If the platform
-// holds the listener, the process accepts from it only once it can serve: until then clients wait in the backlog, or
-// reach the old process.
+// serveFronts divides the client connections and their memory equally among the fronts and starts accepting clients. If
+// the platform holds the listener, the process accepts from it only once it can serve: until then clients wait in the
+// backlog, or reach the old process.
 func (p *process) serveFronts() {
 	n := len(p.fronts)
 	for _, f := range p.fronts {
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -37,8 +37,8 @@
 	relayedList     *platform.RelayedList // nil if no relay distributes the endpoint list
 	relayedSettings relayedSettings       // state of the settings that relays distribute
 	store           *operator.Store       // stored state and maintenance; nil if there is no admin endpoint
-	// listExchange exchanges what is known of discovery's list with the coordinator's other processes; nil if nothing is
-	// shared with them, or if relays distribute the list.
+	// listExchange exchanges what is known of discovery's list with the coordinator's other processes. It is nil if
+	// nothing is shared with them, or if relays distribute the list.
 	listExchange *listexchange.Exchange
 }
 
--- a/internal/lifecycle/usage_log.go
+++ b/internal/lifecycle/usage_log.go
@@ -102,6 +102,7 @@
 		"stacks_kb", m.stacks>>10, "goroutines", m.goroutines, "client_connections", clients.Conns,
 		"client_connections_closing", clients.Closing, "client_connections_idle", clients.Idle,
 		"client_connections_busy", clients.Busy, "request_kb", clients.RequestBytes>>10,
-		"replica_connections", p.frameCaller.OpenConns(), "open_queries", queries.OpenQueries, "parts", queries.Parts, "reserved_ids", queries.ReservedIDs,
+		"replica_connections", p.frameCaller.OpenConns(), "open_queries", queries.OpenQueries,
+		"parts", queries.Parts, "reserved_ids", queries.ReservedIDs,
 		"query_kb", queries.QueryBytes>>10)
 }
--- a/internal/listexchange/earlier_version.go
+++ b/internal/listexchange/earlier_version.go
@@ -14,8 +14,8 @@
 
 // readStateFile reads the list in the state file of a process that writes no record, because it is of an earlier
 // version of the program. The list's age is not known, so it takes part by its index only. The list that the file has
-// when it is first read is not offered: a process starts with it (operator.Store.InheritedList), or it is from a process
-// that ended long ago.
+// when it is first read is not offered: a process starts with it (operator.Store.InheritedList), or it is from a
+// process that ended long ago.
 func (x *Exchange) readStateFile(p *peer, path string) {
 	if p.hasRecord {
 		return
--- a/internal/operator/doc.go
+++ b/internal/operator/doc.go
@@ -6,8 +6,8 @@
 // During an upgrade two processes of a coordinator run side by side, and a process may be killed at any time. Each
 // process writes one state file into a directory that they share, and polls the files of the others. A maintenance call
 // to one process takes effect in all of them within a second, and in those that start later. If files cannot be read or
-// written, the call still takes effect in the process that received it. A new process starts with the latest endpoint
-// list and the latest checkpoint of the others.
+// written, the call still takes effect in the process that received it. A new process starts with the endpoint list
+// that was set last and the latest checkpoint of the others; package listexchange has it start with the latest version.
 //
 // Once Store.Run has started, only its goroutine accesses files, so a disk that hangs blocks an operator's call for a
 // bounded time and never blocks the coordinator. Before that, OpenStateDir and NewStore read, create and remove files
--- a/internal/platform/adopted_list.go
+++ b/internal/platform/adopted_list.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"harepass/internal/counters"
-	"harepass/internal/decide/lease"
 	"harepass/internal/decide/listversion"
 	"harepass/internal/logmsg"
 )
@@ -42,14 +41,14 @@
 	return r, v.Index != unknownIndex
 }
 
-// ErrChangesMissing is returned for a record that does not hold all changes since this process's version, if there is no
-// complete list to apply the others to.
+// ErrChangesMissing is returned for a record that does not hold all changes since this process's version, if there is
+// no complete list to apply the others to.
 var ErrChangesMissing = errors.New("platform: changes between the two versions are missing")
 
 // Adopt takes over what is newer in the record of another process of the coordinator. complete is called if the record
-// does not hold all changes since this process's version. An error means that the record is newer but could not be taken
-// over: it is ErrChangesMissing, an *EntryError or the context's. The coordinator soon stops using its list then, and
-// Adopt should be called again with the record. Adopt waits until Run has begun.
+// does not hold all changes since this process's version. An error means that the record is newer but could not be
+// adopted: it is ErrChangesMissing, an *EntryError or the context's. The coordinator soon stops using its list then,
+// and Adopt should be called again with the record. Adopt waits until Run has begun.
 func (d *Discovery) Adopt(ctx context.Context, r ListRecord, complete CompleteList) error {
 	result := make(chan error, 1)
 	select {
@@ -161,30 +160,3 @@
 		d.reportLease()
 	}
 }
-
-// continueLease continues the record's lease if this process has begun one of its own, for a list that discovery has not
-// confirmed: it could not read the record at its start.
-func (d *Discovery) continueLease(r ListRecord) {
-	if d.version.ConfirmedAt == listversion.NotConfirmed && r.Lease != nil {
-		d.lease = lease.Resume(*r.Lease, d.Grace)
-	}
-}
-
-// continueRecord makes the record that the process has inherited its own. The list may be of an earlier version than the
-// record if the changes since could not be read; it is outdated then. If the record's service is not the one that the
-// configuration names, the configuration has the effect of a reload.
-func (d *Discovery) continueRecord(r ListRecord, now time.Duration) {
-	listed := d.version
-	d.version, d.unreachableAt = r.Version(), r.UnreachableAt
-	d.log.resume(r)
-	d.lease = lease.Resume(*r.Lease, d.Grace)
-	switch {
-	case r.Service != d.address:
-		d.unreachableAt = listversion.NotConfirmed
-		d.lease.ServiceChanged(now)
-	case listed.Index != r.Index:
-		d.version.Index, d.version.ConfirmedAt = listed.Index, listversion.NotConfirmed
-		d.log.reset(listed.Index)
-		d.lease.Outdated(r.HeardAt)
-	}
-}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -34,8 +33,8 @@
 	Grace time.Duration
 	// Schedule decides when discovery is polled. NewDiscovery sets the schedule of a fleet of one coordinator.
 	Schedule *backoff.Schedule
-	// RecordChanged is called after each change of what Record returns, except for changes of the time-out of calls. It
-	// must not block or call methods of the Discovery. It may be nil.
+	// RecordChanged is called after each change of what Record returns, and possibly without one. It must not block or
+	// call methods of the Discovery. It may be nil.
 	RecordChanged func()
 
 	known      List        // list that the coordinator started with; empty once Run has begun
@@ -83,9 +82,9 @@
 	return d
 }
 
-// Inherit replaces the known list by one that another process of the coordinator has had from the service at an address.
-// That service may differ from the one that is to be polled. record is the other process's, or nil if it has none.
-// Inherit must be called before KeepCopy and Run.
+// Inherit replaces the known list by one that another process of the coordinator has had from the service at an
+// address. That service may differ from the one that is to be polled. record is the other process's, or nil if it has
+// none. Inherit must be called before KeepCopy and Run.
 func (d *Discovery) Inherit(service string, list List, record *ListRecord) {
 	d.known, d.inherited = list, record
 	d.version.Service, d.version.Index = service, list.Index
@@ -173,28 +172,6 @@
 	}
 }
 
-// beginLease begins the lease of the list that the coordinator starts with, or continues the one of the process that it
-// inherited the list from.
-func (d *Discovery) beginLease() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.Clock()
-	d.version.HeardAt = now
-	if d.inherited == nil {
-		d.lease = lease.New(now, d.Schedule.ListMaxAge, d.Grace)
-	} else {
-		d.continueRecord(*d.inherited, now)
-	}
-	d.reportLease()
-}
-
-// expiresIn returns the time until the list expires.
-func (d *Discovery) expiresIn() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.lease.Expires() - d.Clock()
-}
-
 // awaitSubscribe waits for the first Subscribe or for a new address, and returns the delay before the first call.
 // running is false if ctx has ended.
 func (d *Discovery) awaitSubscribe(ctx context.Context) (delay time.Duration, running bool) {
@@ -241,40 +218,6 @@
 	return delay
 }
 
-// recordEvidence changes the lease by what a failed call proves.
-func (d *Discovery) recordEvidence(f *pollFailure) {
-	switch e := f.evidence(); {
-	case e == provesUnreachable:
-		d.lease.Unreachable(f.began)
-		d.unreachableAt = max(d.unreachableAt, f.began)
-	case e == mayBeOverloaded:
-		d.lease.Rejected(f.began, d.Schedule.FleetWait())
-	case f.watch && errors.Is(f.err, errUnavailable):
-		d.lease.WatchRejected(f.began)
-	case !f.watch:
-		d.lease.Unanswered()
-	}
-}
-
-// reportLease tells the coordinator when its list expires, and other processes what has changed. A list that the
-// coordinator's own agent serves has no lease: a change that the agent has not learned does not count as notified. The
-// caller holds mu.
-func (d *Discovery) reportLease() {
-	if d.Leased != nil && !d.Schedule.UsesAgent {
-		d.Leased(d.lease.Expires())
-	}
-	if d.RecordChanged != nil {
-		d.RecordChanged()
-	}
-}
-
-// hasUsableList reports whether the coordinator has a list of the service that has not expired.
-func (d *Discovery) hasUsableList() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.index != unknownIndex && d.lease.Expires() > d.Clock()
-}
-
 // serviceChanged sets the address of the service, and resets the known version, the schedule and the lease for it.
 func (d *Discovery) serviceChanged(address string) {
 	d.mu.Lock()
--- a/internal/platform/list_record.go
+++ b/internal/platform/list_record.go
@@ -17,7 +17,7 @@
 	Numbering     int64         `json:"numbering"`      // see listversion.Known
 	ConfirmedAt   time.Duration `json:"confirmed_at"`   // see listversion.Known
 	HeardAt       time.Duration `json:"heard_at"`       // see listversion.Known
-	UnreachableAt time.Duration `json:"unreachable_at"` // latest call that proved the service unreachable; or NotConfirmed
+	UnreachableAt time.Duration `json:"unreachable_at"` // latest call that found it unreachable; or NotConfirmed
 	Lease         *lease.State  `json:"lease"`          // nil if it is not known
 	Base          int64         `json:"base"`           // Changes holds all changes after this version, up to Index
 	Changes       []List        `json:"changes"`        // oldest first
@@ -25,7 +25,8 @@
 
 // Version returns the record's version in the form that the versions of two records are compared in.
 func (r ListRecord) Version() listversion.Known {
-	return listversion.Known{Service: r.Service, Numbering: r.Numbering, Index: r.Index, ConfirmedAt: r.ConfirmedAt, HeardAt: r.HeardAt}
+	return listversion.Known{Service: r.Service, Numbering: r.Numbering, Index: r.Index, ConfirmedAt: r.ConfirmedAt,
+		HeardAt: r.HeardAt}
 }
 
 // Shifted returns the record with its instants moved by a duration, for a clock that differs by it.
