--- a/cmd/harepass/changing_discovery_test.go
+++ b/cmd/harepass/changing_discovery_test.go
@@ -44,6 +44,8 @@
 
 // setEndpoints sets the list's first version.
 func (d *changingDiscovery) setEndpoints(endpoints []fake.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.index, d.notify = firstVersion, make(chan struct{})
 	d.answered, d.told = map[string]answeredAt{}, map[int64]time.Time{}
 	for _, e := range endpoints {
