Calls: the message is encoded before its attempts are asked whether they may begin

Cause: Attempt.Begin asked the socket whether the client was there, and the frame (or the API's request) was encoded and attempts that were denied were reported after it. The writer reports denied attempts after the write.

--- a/internal/core/permit.go
+++ b/internal/core/permit.go
@@ -54,20 +54,35 @@
 
 // Begin reports whether an attempt may begin. The Caller calls it once, right before it writes the attempt's first
 // byte, from any goroutine and possibly while it holds a lock: Begin does not block. An attempt that may not begin ends
-// as NotSent.
+// as NotSent. A Caller that encodes a message for its attempts uses BeginAll instead.
 func (at *Attempt) Begin() bool {
 	reason := at.permit.withheldReason()
 	if reason == notWithheld && !at.permit.stage.CompareAndSwap(waiting, begun) {
 		reason = withheldCancelled
 	}
-	if reason == notWithheld {
-		attemptsBegun.Inc()
-		return true
+	if reason != notWithheld {
+		at.countWithheld(reason)
+		return false
 	}
+	attemptsBegun.Inc()
+	return true
+}
+
+// mayStillBegin reports whether an attempt for which Begin has returned true, but none of whose bytes has been written,
+// may still be written. If not, it ends as NotSent.
+func (at *Attempt) mayStillBegin() bool {
+	reason := at.permit.withheldReason()
+	if reason != notWithheld {
+		at.countWithheld(reason)
+	}
+	return reason == notWithheld
+}
+
+// countWithheld counts and logs that an attempt never begins.
+func (at *Attempt) countWithheld(reason withheldReason) {
 	reason.count()
 	slog.Debug(logmsg.AttemptWithheld, logmsg.KeyQuery, at.QueryID, logmsg.KeyShard, at.Shard,
 		logmsg.KeyAttempt, at.number, logmsg.KeyReplica, at.ReplicaID, logmsg.KeyReason, reason.String())
-	return false
 }
 
 // withheldReason returns why an attempt may not begin, regardless of its stage.
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -48,6 +48,11 @@
 // because the server ends the connection too; when ctx has ended, because the connection's deadline has passed; and
 // when bytes follow the answer, because the next call would read them as its answer.
 func (cl *Client) Do(ctx context.Context, req *Message) (answer *Message, written bool, err error) {
+	return cl.DoEncoded(ctx, req.Append(nil))
+}
+
+// DoEncoded is Do for a request that has been encoded by Message.Append.
+func (cl *Client) DoEncoded(ctx context.Context, req []byte) (answer *Message, written bool, err error) {
 	if cl.conn == nil {
 		if err := cl.Connect(ctx); err != nil {
 			return nil, false, err
@@ -60,7 +65,7 @@
 			cl.Close()
 		}
 	}()
-	if _, err := c.Write(req.Append(nil)); err != nil {
+	if _, err := c.Write(req); err != nil {
 		return nil, false, err
 	}
 	for { // skips interim answers, with status 1xx, which precede the final one
--- a/internal/opensearch/caller.go
+++ b/internal/opensearch/caller.go
@@ -143,12 +143,12 @@
 		return connectOutcome(ctx, err), nil
 	}
 	caller.setClient(at, c)
-	req, ok := caller.requestFor(at, to.Address) // after the connect, since the request contains the remaining time
-	if !ok || !at.Begin() {
+	req, ok := caller.begin(at, to.Address) // after the connect, since the request contains the remaining time
+	if !ok {
 		caller.keepIdle(conns, at, c)
 		return scatter.NotSent, nil
 	}
-	m, written, err := c.Do(ctx, req)
+	m, written, err := c.DoEncoded(ctx, req)
 	if err != nil {
 		return requestOutcome(ctx, written, err), nil
 	}
@@ -159,6 +159,19 @@
 	return recordAnswer(at, m)
 }
 
+// begin encodes the request of an attempt and begins the attempt. It returns false if there is no request for it or it
+// may not begin.
+func (caller *Caller) begin(at *core.Attempt, address string) (req []byte, ok bool) {
+	req, begun := core.BeginAll([]*core.Attempt{at}, func([]*core.Attempt) []byte {
+		message, possible := caller.requestFor(at, address)
+		if !possible {
+			return nil
+		}
+		return message.Append(nil)
+	})
+	return req, len(begun) > 0
+}
+
 // sendWithoutVersion sends a search again as its client worded it, after the replica answered 400 to the search that
 // also requests the shard's version. A 400 to the client's own search is the answer to the client. A second send is
 // safe: a search refused with 400 has not run, and its class may run twice anyway.
--- a/internal/platform/caller_test.go
+++ b/internal/platform/caller_test.go
@@ -31,7 +31,7 @@
 // The frame of a call has the format of the protocol's page.
 func TestCallFrame(t *testing.T) {
 	at := &core.Attempt{QueryID: "9b1f", Shard: 3, Timeout: 240 * time.Millisecond, Body: []byte("c41e77d0")}
-	got := callFrame([]*sentAttempt{{attempt: at}})
+	got := callFrame([]*core.Attempt{at})
 	if want := append([]byte{26, 0, 0, 0, '1'}, "9b1f.3 3 d=240 8\nc41e77d0"...); !bytes.Equal(got, want) {
 		t.Errorf("frame %q, want %q", got, want)
 	}
--- a/internal/platform/replica_writer.go
+++ b/internal/platform/replica_writer.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"harepass/internal/core"
 	"harepass/internal/counters"
 	"harepass/internal/decide/scatter"
 	"harepass/internal/logmsg"
@@ -109,10 +110,11 @@
 		if state != itemTaken {
 			return state == queueEmpty
 		}
+		written := next.frame == nil || c.writeFrame(conn, next)
 		for _, s := range next.denied {
 			c.endAttempt(s, scatter.NotSent, nil)
 		}
-		if next.frame != nil && !c.writeFrame(conn, next) {
+		if !written {
 			return false
 		}
 		if next.ended != nil {
@@ -180,17 +182,24 @@
 // beginCall begins the parts of a call that may still begin. It skips cancelled parts, whose cancellation is queued
 // behind the call. mu must be held.
 func beginCall(call *queueItem) (next outgoing) {
+	var attempts []*core.Attempt
+	for _, s := range call.parts {
+		if !s.cancelled {
+			attempts = append(attempts, s.attempt)
+		}
+	}
+	var begun []*core.Attempt
+	next.frame, begun = core.BeginAll(attempts, callFrame)
 	for _, s := range call.parts {
 		switch {
 		case s.cancelled:
-		case s.attempt.Begin():
+		case slices.Contains(begun, s.attempt):
 			s.state = frameBegun
 			next.parts = append(next.parts, s)
 		default:
 			next.denied = append(next.denied, s)
 		}
 	}
-	next.frame = callFrame(next.parts)
 	return next
 }
 
@@ -225,19 +234,16 @@
 // costs another allocation.
 const maxPartLine = 320
 
-// callFrame returns the frame of a call's parts, or nil if there are none. Bodies may be large and each part has one, so
-// the frame is allocated once.
-func callFrame(parts []*sentAttempt) []byte {
-	if len(parts) == 0 {
-		return nil
-	}
+// callFrame returns the frame of a call's parts. Bodies may be large and each part has one, so the frame is allocated
+// once.
+func callFrame(parts []*core.Attempt) []byte {
 	size := frameHeader + 1
-	for _, s := range parts {
-		size += maxPartLine + len(s.attempt.Body)
+	for _, at := range parts {
+		size += maxPartLine + len(at.Body)
 	}
 	frame := append(make([]byte, frameHeader, size), frameCall)
-	for _, s := range parts {
-		frame = appendPart(frame, s.attempt)
+	for _, at := range parts {
+		frame = appendPart(frame, at)
 	}
 	binary.LittleEndian.PutUint32(frame, uint32(len(frame)-frameHeader))
 	return frame
