Departed clients: a question to the system counts once it is answered

Callers would see: of two attempts of a query that begin at once on two connections, one begins although the client has left. Found by reading. Cause: the time of the question was stored before the system answered, and the other attempt took it for an answer that the client was there. Change: it is stored after the answer. Measured: TestUnansweredQuestionAboutClientDoesNotCount fails without the change; the package's tests pass with -race.

--- a/internal/core/client.go
+++ b/internal/core/client.go
@@ -14,7 +14,7 @@
 // clientWatch holds what is known about a query's client. Any goroutine may use it once the query is submitted.
 type clientWatch struct {
 	closed   <-chan struct{} // closed when the reader of the client's connection finds that it has left; may be nil
-	polledAt atomic.Int64    // instant of the last call of Query.ClientLeft; 0 before the first
+	polledAt atomic.Int64    // instant right before the last Query.ClientLeft that has returned; 0 before the first
 	left     atomic.Bool     // Query.ClientLeft has returned true
 }
 
@@ -30,12 +30,12 @@
 	if polledAt := time.Duration(q.client.polledAt.Load()); polledAt > 0 && now-polledAt < clientPollInterval {
 		return false
 	}
-	q.client.polledAt.Store(int64(now))
-	if q.ClientLeft() {
+	left := q.ClientLeft()
+	if left {
 		q.client.left.Store(true)
-		return true
 	}
-	return false
+	q.client.polledAt.Store(int64(now)) // only now: another goroutine must not rely on a call that has not returned
+	return left
 }
 
 // isClosed reports whether a channel on which nothing is ever sent is closed; a nil channel is not.
--- a/internal/core/permit_test.go
+++ b/internal/core/permit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -177,3 +178,28 @@
 		}
 	}
 }
+
+// Two attempts of a query are about to begin on different connections, and the client has left. While one of them asks
+// the system, the other may not take the question for its answer.
+func TestUnansweredQuestionAboutClientDoesNotCount(t *testing.T) {
+	h := newTwoEndpointHarness(t, nil)
+	q := h.query("free", 0, 1)
+	left, asked := false, false
+	var second *Attempt
+	q.ClientLeft = func() bool {
+		if left && !asked {
+			asked = true
+			if second.Begin() {
+				t.Error("an attempt may begin while it is being asked whether its client has left")
+			}
+		}
+		return left
+	}
+	h.submit(q)
+	list := slices.Concat(h.caller.calls...)
+	left, second = true, list[1]
+	h.clock += 2 * clientPollInterval
+	if list[0].Begin() || !asked {
+		t.Errorf("an attempt may begin after its client has left; asked: %t", asked)
+	}
+}
