Tests: crowds at the fronts build their texts once

Cause: TestCrowdAtSearchFrontStaysWithinMemory/many_keys failed now and then, with 429 for every query of an ordinary client. The 429s come from the decision module, whose parts timed out (counters: attempts_ended.timeout, queries_refused.module), not from a list's end or from memory. The data nodes run in the test's process, and each of 600 clients built its body of 256 KiB anew for each connection: 41 ms of a core with the race detector, 24 cores for the whole crowd. A timer of 10 ms there was late by up to 11.8 s. Change: the texts are built once; what is sent is the same, and more of it gets to the process.

--- a/cmd/harepass/crowd_memory_test.go
+++ b/cmd/harepass/crowd_memory_test.go
@@ -32,15 +32,21 @@
 		"X-Caller: kitakaze\r\nX-Budget: 2900m\r\nContent-Length: %d\r\n", id, class, bodyLength)
 }
 
-// shortFields returns header fields with short names, all different, of at most the given size in bytes.
-func shortFields(size int) string {
-	const letters, longest = "abcdefghijklmnopqrstuvwxyz", len("aaa:\r\n")
+// shortField is the size of each of the fields that shortFields returns, in bytes.
+const shortField = len("aaa:\r\n")
+
+// allShortFields are as many short fields as fit into a head. They are built once, as manyClausesText.
+var allShortFields = sync.OnceValue(func() string {
+	const letters = "abcdefghijklmnopqrstuvwxyz"
 	var b strings.Builder
-	for i := 0; b.Len() <= size-longest; i++ {
+	for i := 0; b.Len() <= largestHead-shortField; i++ {
 		fmt.Fprintf(&b, "%c%c%c:\r\n", letters[i/26/26%26], letters[i/26%26], letters[i%26])
 	}
 	return b.String()
-}
+})
+
+// shortFields returns header fields with short names, all different, of at most the given size in bytes.
+func shortFields(size int) string { return allShortFields()[:size/shortField*shortField] }
 
 // crowdClient is what each client of a crowd does with a new connection, until the given time at the latest. The id is
 // one that no other connection has.
@@ -250,23 +256,35 @@
 	stay(c, until)
 }
 
-// sendManyClauses sends a search of as many clauses as fit into a body.
-func sendManyClauses(c net.Conn, _ string, until time.Time) {
+// manyClausesText is a search of as many clauses as fit into a body. It is built once: the data nodes run in the process
+// of the test, and the crowd must not take their time.
+var manyClausesText = sync.OnceValue(func() string {
 	const clause = `{"term":{"a":1}},`
 	clauses := strings.Repeat(clause, largestSearch/len(clause)-10)
 	body := `{"query":{"bool":{"must":[` + strings.TrimSuffix(clauses, ",") + `]}}}`
-	io.WriteString(c, searchText(body, len(body)))
+	return searchText(body, len(body))
+})
+
+// sendManyClauses sends a search of as many clauses as fit into a body.
+func sendManyClauses(c net.Conn, _ string, until time.Time) {
+	io.WriteString(c, manyClausesText())
 	stay(c, until)
 }
 
-// sendManyKeys sends a search whose clauses have as many different keys as fit into a body.
-func sendManyKeys(c net.Conn, _ string, until time.Time) {
+// manyKeysText is a search whose clauses have as many different keys as fit into a body. It is built once, as
+// manyClausesText.
+var manyKeysText = sync.OnceValue(func() string {
 	var keys strings.Builder
 	for i := 0; keys.Len() < largestSearch-100; i++ {
 		fmt.Fprintf(&keys, `"%x":0,`, i)
 	}
 	body := `{"query":{"term":{` + strings.TrimSuffix(keys.String(), ",") + `}}}`
-	io.WriteString(c, searchText(body, len(body)))
+	return searchText(body, len(body))
+})
+
+// sendManyKeys sends a search whose clauses have as many different keys as fit into a body.
+func sendManyKeys(c net.Conn, _ string, until time.Time) {
+	io.WriteString(c, manyKeysText())
 	stay(c, until)
 }
 
