State files: read before they are removed, and the one written last is kept

Cause: a new process removed all state files but four before it read them, in the order of the processes' starts: that of the process that serves went first, with the only copy of the call. Change: files are read first, only files that have been read are removed, and those that were written last stay.

--- a/internal/operator/state_dir.go
+++ b/internal/operator/state_dir.go
@@ -20,7 +20,7 @@
 const (
 	// StateFileSuffix is the suffix of a state file's name.
 	StateFileSuffix = ".state"
-	// maxOldStateFiles is how many state files of other processes Prune keeps, the latest ones.
+	// maxOldStateFiles is how many state files of other processes Prune keeps, those that were written last.
 	maxOldStateFiles = 4
 	// partialLifetime is the age above which the writer of a partial state file counts as killed, and Prune removes the
 	// file.
@@ -146,17 +146,18 @@
 	return Decode(data)
 }
 
-// Prune removes other processes' state files except for the latest maxOldStateFiles, and partial files older than
-// partialLifetime.
+// Prune removes other processes' state files that ReadChanged has returned or logged, except for the maxOldStateFiles
+// that were written last, and partial files older than partialLifetime. The order is that of the writes, because a
+// process that serves may have started before several that failed.
 func (d *StateDir) Prune() {
 	entries, err := os.ReadDir(d.dir)
 	if err != nil {
 		return
 	}
-	var others []string // names in order of the processes' starts
+	var others []string
 	for _, e := range entries {
 		switch name := e.Name(); {
-		case strings.HasSuffix(name, StateFileSuffix) && name != d.own:
+		case d.lastRead[name] != nil && d.unread[name] == nil:
 			others = append(others, name)
 		case strings.HasSuffix(name, StateFileSuffix+sharedfile.WritingSuffix) && name != d.ownPartial():
 			if info, err := e.Info(); err == nil && time.Since(info.ModTime()) > partialLifetime {
@@ -164,12 +165,13 @@
 			}
 		}
 	}
-	for len(others) > maxOldStateFiles {
-		d.remove(others[0])
-		delete(d.lastRead, others[0])
-		delete(d.unread, others[0])
-		delete(d.out, others[0])
-		others = others[1:]
+	slices.SortStableFunc(others, func(a, b string) int {
+		return d.lastRead[b].ModTime().Compare(d.lastRead[a].ModTime())
+	})
+	for _, name := range others[min(len(others), maxOldStateFiles):] {
+		d.remove(name)
+		delete(d.lastRead, name)
+		delete(d.out, name)
 	}
 }
 
--- a/internal/operator/store.go
+++ b/internal/operator/store.go
@@ -84,8 +84,8 @@
 		own: StateFile{Name: name, Maintenance: maintenance.Register{}},
 	}
 	if dir != nil {
-		dir.Prune()
 		others := dir.ReadChanged()
+		dir.Prune() // only now: what is removed has been read
 		s.merge(others)
 		s.inheritList(others)
 		s.unsaved = true
--- a/internal/operator/store_test.go
+++ b/internal/operator/store_test.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -311,3 +313,47 @@
 		older.end()
 	})
 }
+
+// Versions that fail leave a state file each. Operators then take a replica out at the process that serves, which
+// started before them. The next version starts with the call, and so does one that starts after it has failed as well:
+// the file of the process that serves is still there, though it is not written again.
+func TestCallOutlivesFailedVersions(t *testing.T) {
+	dir := t.TempDir()
+	serving := startProcess(t, dir, "n1")
+	for range 2 * maxOldStateFiles {
+		if _, err := openDir(t, dir).Write(StateFile{Name: "n1"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := serving.StartMaintenance("a", "staff"); err != nil {
+		t.Fatal(err)
+	}
+	serving.end()
+	for version := range 2 {
+		if !NewStore("n1", openDir(t, dir), wallClock).own.Maintenance["a"].Out {
+			t.Errorf("version %d starts without the operators' call", version)
+		}
+		if files, _ := filepath.Glob(filepath.Join(dir, "*"+StateFileSuffix)); len(files) != maxOldStateFiles {
+			t.Errorf("%d state files are left, want %d", len(files), maxOldStateFiles)
+		}
+	}
+}
+
+// A state file that cannot be read for a while stays, although others were written after it.
+func TestStateFileThatWasNotReadIsNotRemoved(t *testing.T) {
+	dir := t.TempDir()
+	for range 2 * maxOldStateFiles {
+		if _, err := openDir(t, dir).Write(StateFile{Name: "n1"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reader := openDir(t, dir)
+	reader.readFile = func(path string) ([]byte, error) {
+		return nil, &fs.PathError{Op: "read", Path: path, Err: syscall.EIO}
+	}
+	reader.ReadChanged()
+	reader.Prune()
+	if files, _ := filepath.Glob(filepath.Join(dir, "*"+StateFileSuffix)); len(files) != 2*maxOldStateFiles {
+		t.Errorf("%d state files are left, want %d", len(files), 2*maxOldStateFiles)
+	}
+}
