Server: requests that were sent before the last answer are answered in a drain

Cause: the first answer of a draining server ended its connection, whatever waited behind it; so did the first answer after more requests came than may wait. Change: an answer ends the connection if no request is queued, begun or unread behind it; after an overflow, once those that wait are answered. A shutdown asks the reader to close a connection after its last answer, since only the reader knows of unread bytes.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -50,7 +50,7 @@
 
 	memory      connMemory
 	queuedBytes int  // size of the requests that wait behind the one being answered; see Message.size
-	overflowed  bool // more requests arrived than may wait: the next answer is the last one
+	overflowed  bool // more requests arrived than may wait: the answer to the last one that waits is the last answer
 }
 
 // requestBegan records that a request's first byte was read, and sets the deadline for its last byte. It returns false
@@ -116,7 +116,7 @@
 		return
 	}
 	if c.server.shuttingDown { // Shutdown closed only the connections that were idle when it began
-		c.beginClose(closedLastAnswer)
+		c.requestClose(closedLastAnswer)
 		return
 	}
 	c.lastActivity = time.Now()
--- a/internal/http1/conn_answer.go
+++ b/internal/http1/conn_answer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"harepass/internal/counters"
+	"harepass/internal/socket"
 )
 
 // writeTimeout bounds the time of writing an answer, in case the client reads it slowly or not at all.
@@ -50,7 +51,7 @@
 		answer := c.callHandler(r.req, clientLeft)
 		answer.Close = answer.Close || r.req.Close
 		answer.omitBody = r.req.Method == "HEAD"
-		written := c.writeAnswer(answer)
+		written := c.writeAnswer(answer, len(results) > 0)
 		c.requestDone(size)
 		switch {
 		case !written:
@@ -70,7 +71,7 @@
 		countFault(fault)
 		answer := c.server.errorAnswer(fault)
 		answer.Close = true
-		c.writeAnswer(answer)
+		c.writeAnswer(answer, false)
 		return closeReasonOf(fault)
 	case errors.Is(err, errClosing):
 		return nil
@@ -78,14 +79,27 @@
 	return closedByClient
 }
 
-// writeAnswer writes an answer, and reports whether the socket accepted all of it within writeTimeout. It sets Close if
-// the server is draining or if the connection has overflowed, because the answer is then the connection's last.
-func (c *conn) writeAnswer(answer *Message) bool {
-	c.server.mu.Lock()
-	answer.Close = answer.Close || c.server.draining || c.overflowed
-	c.server.mu.Unlock()
+// writeAnswer writes an answer, and reports whether the socket accepted all of it within writeTimeout. requestsWait
+// states whether requests are queued behind the answered one. writeAnswer sets Close if the answer is the connection's
+// last.
+func (c *conn) writeAnswer(answer *Message, requestsWait bool) bool {
+	answer.Close = answer.Close || !requestsWait && c.endsAfterAnswer()
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.Write(answer.Append(nil))
 	c.requestAnswered()
 	return err == nil
 }
+
+// endsAfterAnswer reports whether the connection ends after the answer that is about to be written, if no request is
+// queued behind it: because the connection has overflowed, or because the server is draining. In the latter case, the
+// connection stays open while the client has sent more: each request that it sent before it was told of the end is
+// answered.
+func (c *conn) endsAfterAnswer() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.overflowed || !c.server.draining {
+		return c.overflowed
+	}
+	const answered = 1 // the request whose answer is about to be written is still open
+	return c.openRequests <= answered && (socket.PeerClosed(c.Conn) || !socket.HasUnread(c.Conn))
+}
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -72,8 +72,45 @@
 	s.Shutdown()
 }
 
-// A client sends many requests at once. Up to maxPipelined of them are all answered. If more arrive, the next answer
-// announces the end of the connection, and it still reaches the client.
+// A client sends requests at once, and the server drains and shuts down while the first is handled. All are answered,
+// and only the last answer announces the end of the connection.
+func TestPipelinedRequestsAreAnsweredInDrain(t *testing.T) {
+	for _, n := range []int{1, 2, 6, maxPipelined} {
+		handling, proceed := make(chan struct{}, n), make(chan struct{})
+		s := &Server{Limits: small, Handler: func(*Message, <-chan struct{}) *Message {
+			handling <- struct{}{}
+			<-proceed
+			return &Message{Status: 200}
+		}}
+		l := serveOnLoopback(t, s)
+		c := connect(t, l)
+		c.Write([]byte(strings.Repeat(request, n)))
+		<-handling
+		waitUntil(t, s, "the last request to be read", func() bool {
+			for c := range s.conns {
+				return c.completeRequests == n
+			}
+			return false
+		})
+		l.Close()
+		go s.Shutdown()
+		waitUntil(t, s, "the start of the shutdown", func() bool { return s.shuttingDown })
+		close(proceed)
+		r := NewAnswerReader(small)
+		for i := 1; i <= n; i++ {
+			if m, err := r.Read(c); err != nil || m.Status != 200 || m.Close != (i == n) {
+				t.Fatalf("answer %d of %d: %+v, error %v; want status 200, and Close only for the last", i, n, m, err)
+			}
+		}
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("after the last of %d answers: %v, want EOF", n, err)
+		}
+		c.Close()
+	}
+}
+
+// A client sends many requests at once. Up to maxPipelined of them are all answered. If more arrive, those that wait
+// are answered, the last one with the end of the connection, and all answers still reach the client.
 func TestTooManyPipelinedRequestsEndWithAnAnswer(t *testing.T) {
 	s := &Server{Limits: small, Handler: func(*Message, <-chan struct{}) *Message {
 		time.Sleep(time.Millisecond)
@@ -91,6 +128,9 @@
 			}
 			answers, last = answers+1, m.Close
 		}
+		if answers < maxPipelined {
+			t.Errorf("%d requests at once: %d answers, want those that may wait to be answered", n, answers)
+		}
 		if last != (n > maxPipelined) {
 			t.Errorf("%d requests at once: %d answers, last one with Close: %t; want Close only if too many were sent",
 				n, answers, last)
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -63,7 +63,7 @@
 	idle         *list.List         // those of conns that are used and have no open request, the longest idle first
 	busyConns    int                // connections with an open request
 	requestBytes int                // memory that counts towards MaxRequestBytes
-	draining     bool               // every answer is the last one of its connection
+	draining     bool               // see Drain
 	shuttingDown bool               // no connection stays open without a request
 }
 
@@ -141,7 +141,8 @@
 	return s.busyConns
 }
 
-// Drain makes every answer from now on the last one of its connection.
+// Drain makes every answer from now on the last one of its connection, unless the client has sent another request before
+// the answer: then that one's answer is the last one.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	s.draining = true
