--- a/internal/decide/settingsdiff/missing.go
+++ b/internal/decide/settingsdiff/missing.go
@@ -12,9 +12,19 @@
 	dedupWindowKey = "dedup_window_us"
 )
 
+// guardedOnlyKeys are the keys that only a class whose repeats are dropped needs.
+var guardedOnlyKeys = []string{dedupWindowKey, "group"}
+
+// optionalKeys are the other keys of list entries that may be absent, and optionalPaths the paths outside the lists.
+// Their absence is a setting too.
+var (
+	optionalKeys  = []string{"aim_stretch"}
+	optionalPaths = []string{"family_info.warm_keys", "rules.budget_free", "rules.extra_ratio", "rules.extra_window_us"}
+)
+
 // Missing returns the sorted paths that next must have but lacks. Required are each path outside the lists that old has
 // and, in each list entry of next, the keys that all entries of the list had in old and the keys that the entry itself
-// had in old. The deduplication window is required of guarded classes only. The result is empty if next lacks nothing.
+// had in old, except for those that may be absent. The result is empty if next lacks nothing.
 func Missing(old, next Named) (paths []string) {
 	required := map[string]bool{}
 	oldKeys := keysOfEntries(old)
@@ -26,7 +36,7 @@
 		}
 	}
 	for path := range old {
-		if _, inEntry := parseEntryPath(path); !inEntry {
+		if _, inEntry := parseEntryPath(path); !inEntry && !slices.Contains(optionalPaths, path) {
 			required[path] = true
 		}
 	}
@@ -43,10 +53,15 @@
 func requiredKeys(list, name string, oldKeys entryKeys, old, next Named) map[string]bool {
 	keys := oldKeys.shared(list)
 	maps.Copy(keys, oldKeys[list][name])
+	for _, key := range optionalKeys {
+		delete(keys, key)
+	}
 	repeat := entryPath{list, name, repeatKey}.String()
 	switch {
 	case next[repeat] != repeatGuarded:
-		delete(keys, dedupWindowKey)
+		for _, key := range guardedOnlyKeys {
+			delete(keys, key)
+		}
 	case old[repeat] != repeatGuarded:
 		keys[dedupWindowKey] = true
 	}
