OpenSearch caller: a search without a version is not sent once its client has left

By reading, the cause of the attempts after a suspension in another place: after a 400 the search was sent again with a look at the time only, and was encoded after it. Change: core.BeginAgain repeats the checks of BeginAll. An attempt whose time is over by then ends as NotSent, since a search refused with 400 has not run; it was an error of the replica before. Measured: TestSecondMessageOfAnAttempt covers the rule; no test plays the caller's path, and none was seen failing before.

--- a/internal/core/begin_all.go
+++ b/internal/core/begin_all.go
@@ -16,7 +16,21 @@
 //
 // Any goroutine may call BeginAll, possibly while it holds a lock: it blocks only if encode does.
 func BeginAll(attempts []*Attempt, encode func([]*Attempt) []byte) (message []byte, begun []*Attempt) {
-	begun, mayBegin := attempts, (*Attempt).Begin
+	return beginIf((*Attempt).Begin, attempts, encode)
+}
+
+// BeginAgain returns the message with which an attempt is sent once more after its replica has refused the first one
+// without running it. It returns nil if the attempt must not be sent any more, for the reasons of Begin, or encode
+// returns nil.
+func BeginAgain(at *Attempt, encode func([]*Attempt) []byte) (message []byte) {
+	message, _ = beginIf((*Attempt).mayStillBegin, []*Attempt{at}, encode)
+	return message
+}
+
+// beginIf implements BeginAll for the attempts that mayBegin permits.
+func beginIf(mayBegin func(*Attempt) bool, attempts []*Attempt, encode func([]*Attempt) []byte) (message []byte,
+	begun []*Attempt) {
+	begun = attempts
 	for len(begun) > 0 {
 		encodedAt := begun[0].permit.now()
 		if message = encode(begun); message == nil {
--- a/internal/core/begin_all_test.go
+++ b/internal/core/begin_all_test.go
@@ -64,3 +64,23 @@
 	h.AttemptEnded(at, scatter.Succeeded, []byte("v"))
 	h.pass(0)
 }
+
+// A replica refuses an attempt's first message. The second one is sent only while the client is still there.
+func TestSecondMessageOfAnAttempt(t *testing.T) {
+	h := newTwoEndpointHarness(t, nil)
+	left := make(chan struct{})
+	q := h.query("free", 0)
+	q.client.closed = left
+	h.submit(q)
+	at := h.caller.last()
+	if _, begun := BeginAll([]*Attempt{at}, namesOf); len(begun) != 1 {
+		t.Fatal("the attempt may not begin")
+	}
+	if message := BeginAgain(at, namesOf); string(message) != q.ID {
+		t.Errorf("second message %q, want %q", message, q.ID)
+	}
+	close(left)
+	if message := BeginAgain(at, namesOf); message != nil {
+		t.Errorf("second message %q after the client has left, want none", message)
+	}
+}
--- a/internal/opensearch/caller.go
+++ b/internal/opensearch/caller.go
@@ -178,13 +178,20 @@
 func (caller *Caller) sendWithoutVersion(ctx context.Context, conns *replicaConns, c *http1.Client, to core.Endpoint,
 	at *core.Attempt) (scatter.Outcome, []byte) {
 	s, ok := at.Origin.(*search)
-	if !ok || at.Remaining() <= 0 {
+	if !ok {
 		caller.keepIdle(conns, at, c)
 		return scatter.Errored, nil
 	}
-	req := searchRequest(s.index, at, s.body)
-	req.Header.Set("Host", to.Address)
-	m, written, err := c.Do(ctx, req)
+	req := core.BeginAgain(at, func([]*core.Attempt) []byte {
+		m := searchRequest(s.index, at, s.body)
+		m.Header.Set("Host", to.Address)
+		return m.Append(nil)
+	})
+	if req == nil {
+		caller.keepIdle(conns, at, c)
+		return scatter.NotSent, nil
+	}
+	m, written, err := c.DoEncoded(ctx, req)
 	if err != nil {
 		return requestOutcome(ctx, written, err), nil
 	}
