--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -24,9 +24,6 @@
 	// requestMemoryDivisor divides the memory: requests of clients may take a fifth of it beyond what each connection
 	// has for ordinary ones.
 	requestMemoryDivisor = 5
-	// answerMemoryDivisor divides the memory: incomplete answers of replicas may take a fifth of it beyond what each
-	// connection has for ordinary ones.
-	answerMemoryDivisor = 5
 	// reservedDescriptors is the number of descriptors for the program itself: standard streams, poller, listeners, two
 	// connections to discovery while its address changes, and files that are read again.
 	reservedDescriptors = 24
@@ -82,9 +79,5 @@
 // RequestBytes returns the memory, in bytes, that the requests of all client connections may take together.
 func (l Limits) RequestBytes() int { return l.MemoryMB << 20 / requestMemoryDivisor }
 
-// AnswerBytes returns the memory, in bytes, that the incomplete answers on all connections to replicas may take
-// together.
-func (l Limits) AnswerBytes() int { return l.MemoryMB << 20 / answerMemoryDivisor }
-
 // TwoPhaseCacheBytes returns the maximum size, in bytes, of the values that two-phase queries cache.
 func (l Limits) TwoPhaseCacheBytes() int { return l.MemoryMB << 20 / memoryBytesPerCacheByte }
--- a/internal/core/begin_all.go
+++ b/internal/core/begin_all.go
@@ -45,19 +45,14 @@
 	return nil, nil
 }
 
-// filter returns the attempts that a check permits: the given slice if it permits all, as it nearly always does.
-func filter(attempts []*Attempt, permits func(*Attempt) bool) (permitted []*Attempt) {
-	for i, at := range attempts {
-		switch allowed := permits(at); {
-		case allowed && permitted != nil:
+// filter returns the attempts that a check permits.
+func filter(attempts []*Attempt, permits func(*Attempt) bool) []*Attempt {
+	permitted := make([]*Attempt, 0, len(attempts))
+	for _, at := range attempts {
+		if permits(at) {
 			permitted = append(permitted, at)
-		case !allowed && permitted == nil:
-			permitted = append(make([]*Attempt, 0, len(attempts)), attempts[:i]...)
 		}
 	}
-	if permitted == nil {
-		return attempts
-	}
 	return permitted
 }
 
--- a/internal/lifecycle/replicas.go
+++ b/internal/lifecycle/replicas.go
@@ -35,7 +35,7 @@
 	limits := p.ProtocolLimits
 	p.frameCaller = &platform.Caller{CallsPerConn: limits.CallsPerConn, MaxConns: p.Limits.ReplicaConns(),
 		ConnectTimeout: limits.ConnectTimeout, ResponseTimeout: responseTimeout(p.Settings.Classes),
-		MaxAnswerBytes: p.Limits.AnswerBytes(), KeepAlive: limits.KeepAlive}
+		KeepAlive: limits.KeepAlive}
 	cfg.Callers[platform.Scheme] = p.frameCaller
 	p.onStop = append(p.onStop, p.frameCaller.Close)
 	if p.OpenSearch == nil {
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -40,19 +40,14 @@
 	// ResponseTimeout bounds the time from the first byte of an answer to its last. It is also how long a connection on
 	// which answers are awaited may be silent before new calls avoid it.
 	ResponseTimeout time.Duration
-	// MaxAnswerBytes is the memory that the incomplete answers on all connections may take together, besides a little
-	// for each connection; 0 for no limit. Connections are closed when it is exceeded.
-	MaxAnswerBytes int
-	KeepAlive      time.Duration // time after which replicas close idle connections; 0 if unknown
-	Dial           http1.Dialer  // nil for plain TCP
+	KeepAlive       time.Duration // time after which replicas close idle connections; 0 if unknown
+	Dial            http1.Dialer  // nil for plain TCP
 
 	mu        sync.Mutex                // guards the fields below and all connections; never held while blocking
 	conns     map[string][]*replicaConn // by replica id
 	openCount int                       // connections in conns
 	attempts  map[*core.Attempt]*sentAttempt
 	onDial    func() // called before each connection is opened; may be nil
-
-	answerBytes int // memory that counts towards MaxAnswerBytes
 }
 
 // OnDial sets the function that is called before each connection is opened from now on. It is called without the lock.
@@ -67,7 +62,7 @@
 	caller.mu.Lock()
 	defer caller.mu.Unlock()
 	c := caller.connFor(to)
-	call := &queueItem{attempts: attempts, unsettled: len(attempts)}
+	call := &queueItem{unsettled: len(attempts)}
 	for _, at := range attempts {
 		s := &sentAttempt{attempt: at, id: partID(at), call: call}
 		call.parts = append(call.parts, s)
--- a/internal/platform/replica_conn.go
+++ b/internal/platform/replica_conn.go
@@ -31,7 +31,6 @@
 // queueItem is an item of a connection's queue: the cancellation of one attempt, or a call, which remains in use until
 // its parts are settled.
 type queueItem struct {
-	attempts  []*core.Attempt // of the parts, in their order; nil for a cancellation
 	parts     []*sentAttempt
 	unsettled int          // number of parts that have not ended
 	cancels   *sentAttempt // the attempt to cancel; nil for a call
@@ -54,7 +53,6 @@
 	discarded        bool         // ended by this process, as after a malformed answer or a silence; see endOutstanding
 	malformedFrom    *sentAttempt // the attempt whose answer was malformed; nil if unknown
 	conn             net.Conn     // nil until connected
-	answer           answerMemory // of the incomplete answer
 }
 
 // enqueue queues a call or a cancellation. mu must be held.
@@ -78,7 +76,6 @@
 		return
 	}
 	c.closed = true
-	c.setAnswerCharge(0) // the reader ends and drops its buffer
 	c.caller.openCount--
 	list := slices.DeleteFunc(c.caller.conns[c.replica], func(o *replicaConn) bool { return o == c })
 	if c.caller.conns[c.replica] = list; len(list) == 0 { // the replica may have been removed for good
--- a/internal/platform/replica_reader.go
+++ b/internal/platform/replica_reader.go
@@ -26,17 +26,12 @@
 // connection, and endOutstanding ends the attempts that remain.
 func (c *replicaConn) read(conn net.Conn) {
 	var b buffer.Buffer
-	inAnswer := false          // an answer has begun, and the read deadline is that answer's
-	charged := freeAnswerBytes // size of the buffer, at least freeAnswerBytes, when it was last charged
+	inAnswer := false // an answer has begun, and the read deadline is that answer's
 	for {
 		handled, usable := c.handleBuffered(&b)
 		if !usable {
 			return
 		}
-		if size := max(b.Cap(), freeAnswerBytes); size != charged {
-			charged = size
-			c.chargeAnswer(size)
-		}
 		inAnswer = inAnswer && !handled
 		_, response, idle := c.caller.times()
 		switch {
--- a/internal/platform/replica_writer.go
+++ b/internal/platform/replica_writer.go
@@ -182,8 +182,14 @@
 // beginCall begins the parts of a call that may still begin. It skips cancelled parts, whose cancellation is queued
 // behind the call. mu must be held.
 func beginCall(call *queueItem) (next outgoing) {
+	var attempts []*core.Attempt
+	for _, s := range call.parts {
+		if !s.cancelled {
+			attempts = append(attempts, s.attempt)
+		}
+	}
 	var begun []*core.Attempt
-	next.frame, begun = core.BeginAll(call.notCancelled(), callFrame)
+	next.frame, begun = core.BeginAll(attempts, callFrame)
 	for _, s := range call.parts {
 		switch {
 		case s.cancelled:
@@ -197,19 +203,6 @@
 	return next
 }
 
-// notCancelled returns the attempts of a call that have not been cancelled. mu must be held.
-func (call *queueItem) notCancelled() (attempts []*core.Attempt) {
-	if !slices.ContainsFunc(call.parts, func(s *sentAttempt) bool { return s.cancelled }) {
-		return call.attempts
-	}
-	for _, s := range call.parts {
-		if !s.cancelled {
-			attempts = append(attempts, s.attempt)
-		}
-	}
-	return attempts
-}
-
 // writeFrame writes a frame and marks its parts as written after its last byte. It returns false if the connection has
 // ended. A part whose frame was not written completely has not run. A write that blocks ends when an attempt on the
 // connection is cancelled for the second time, which closes the connection.
