--- a/internal/http1/close_test.go
+++ b/internal/http1/close_test.go
@@ -128,6 +128,43 @@
 	}
 }
 
+// A request is still in the socket when the answer to the one before is written in a drain. It is answered too, with the
+// end of the connection.
+func TestUnreadRequestIsAnsweredInDrain(t *testing.T) {
+	handling, proceed := make(chan struct{}, 2), make(chan struct{})
+	s := &Server{Limits: small, Handler: func(*Message, <-chan struct{}) *Message {
+		handling <- struct{}{}
+		<-proceed
+		return &Message{Status: 200}
+	}}
+	dial, _ := serveWithPauses(t, s)
+	c, pc := dial()
+	c.Write([]byte(request))
+	<-pc.paused
+	pc.proceed <- struct{}{}
+	<-handling
+	s.Drain()
+	const split = len(request) / 2
+	c.Write([]byte(request[:split]))
+	<-pc.paused // the reader has received this part, but does not see it yet
+	c.Write([]byte(request[split:]))
+	time.Sleep(20 * time.Millisecond) // the rest reaches the server's socket
+	close(proceed)
+	r := NewAnswerReader(small)
+	if m, err := r.Read(c); err != nil || m.Status != 200 || m.Close {
+		t.Fatalf("first answer %+v, error %v; want status 200 without Close", m, err)
+	}
+	for range 3 { // lets the reads return
+		pc.proceed <- struct{}{}
+	}
+	if m, err := r.Read(c); err != nil || m.Status != 200 || !m.Close {
+		t.Errorf("second answer %+v, error %v; want status 200 with Close", m, err)
+	}
+	for range 10 { // lets all further reads return
+		pc.proceed <- struct{}{}
+	}
+}
+
 // When the shutdown begins, the server is writing an answer on one connection, and another connection is accepted from
 // the backlog after that. Neither may stay open and accept further requests.
 func TestNoConnectionStaysOpenAfterShutdown(t *testing.T) {
